--- /dev/null
+++ b/crates/adapter/src/host.rs
@@ -0,0 +1,191 @@
+//! Hosts the instances: decodes each event into a call, then pulls and encodes what is decided.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use granitelb::brain::{Answer, ApiCall, Brain, Listing, Outcome};
+use granitelb::ids::{ApiCallId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
+use granitelb::units::{Span, Time};
+
+use crate::frame::{Batch, Malformed, Record, Reply, cache_bytes, span_bytes};
+use crate::settings;
+
+const ENTRY_BYTES: usize = 25;
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+    /// Lists by number; the wire sends each once for all instances.
+    sheets: BTreeMap<u32, Vec<Listing>>,
+}
+
+struct Instance {
+    brain: Brain,
+    has_tenants: bool,
+    /// When the timer that is set comes due.
+    wake: Option<Time>,
+}
+
+impl Host {
+    /// Takes a batch in and returns the reply to it.
+    pub fn answer(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Malformed> {
+        let batch = Batch::split(bytes)?;
+        let now = Time(batch.clock);
+        let mut touched = BTreeSet::new();
+        for record in batch.records() {
+            if let Some(node) = self.take(&batch, record, now)? {
+                touched.insert(node);
+            }
+        }
+        let mut reply = Reply::default();
+        for node in touched {
+            if let Some(instance) = self.instances.get_mut(&node) {
+                instance.decide(node, now, &mut reply);
+            }
+        }
+        Ok(reply.encode())
+    }
+
+    /// Decodes one event, and names the instance that it was for.
+    fn take(&mut self, batch: &Batch<'_>, record: Record<'_>, now: Time) -> Result<Option<u16>, Malformed> {
+        let code = record.u16(0);
+        if code == 7 {
+            let rows = batch.tail(record, 6, ENTRY_BYTES)?;
+            let listings =
+                rows.chunks_exact(ENTRY_BYTES).map(|bytes| listing(Record { bytes, at: record.at }));
+            self.sheets.insert(record.u32(2), listings.collect());
+            return Ok(None);
+        }
+        let node = record.u16(2);
+        if code == 10 {
+            let params = batch.tail(record, 12, 1)?;
+            let settings = settings::decode(params)
+                .map_err(|e| Malformed(format!("record {}: unreadable settings: {e}", record.at)))?;
+            let has_tenants = !settings.quotas_per_s.is_empty();
+            let brain = Brain::new(settings, record.u64(4), now);
+            self.instances.insert(node, Instance { brain, has_tenants, wake: None });
+            return Ok(Some(node));
+        }
+        if code == 11 {
+            self.instances.remove(&node);
+            return Ok(None);
+        }
+        let Some(instance) = self.instances.get_mut(&node) else {
+            return Ok(None);
+        };
+        let brain = &mut instance.brain;
+        match code {
+            // One timer is meant at a time; others are ones that no longer matter.
+            1 if instance.wake.is_some_and(|w| w.0 == record.u64(4)) => instance.wake = None,
+            2 => {
+                let scope = record.u8(4);
+                if scope == 3 {
+                    brain.list_failed(now);
+                    return Ok(Some(node));
+                }
+                let sheet = record.u32(9);
+                let Some(listings) = self.sheets.get(&sheet) else {
+                    return Err(Malformed(format!(
+                        "record {} names list {sheet}, which was never sent",
+                        record.at
+                    )));
+                };
+                match scope {
+                    2 => brain.caches_remembered(now, listings),
+                    _ => brain.caches_listed(now, listings, scope == 1),
+                }
+            }
+            4 => brain.cache_checked(now, record.cache(4), &record.load(15)),
+            5 => brain.client_left(now, ApiCallId(record.u64(4))),
+            6 => {
+                let Some(outcome) = outcome(record.u8(19)) else {
+                    return Err(Malformed(format!(
+                        "record {}: unknown outcome {}",
+                        record.at,
+                        record.u8(19)
+                    )));
+                };
+                let number = ShotNumber(record.u8(12));
+                let took = Span(u64::from(record.u32(20)));
+                let answered = record.u8(24) != 0;
+                let (id, cache) = (ApiCallId(record.u64(4)), record.cache(13));
+                brain.shot_ended(now, id, number, cache, outcome, took, answered, &record.load(26));
+            }
+            9 => {
+                let flags = record.u8(38);
+                let call = ApiCall {
+                    product: ProductId(record.u16(12)),
+                    tenant: instance.has_tenants.then(|| TenantId(record.u32(14))),
+                    key: Key(record.u64(18)),
+                    budget: Span(u64::from(record.u32(26))),
+                    work: (flags & 1 != 0).then(|| Span(u64::from(record.u32(30)))),
+                    write: flags & 4 != 0,
+                };
+                brain.api_call(now, ApiCallId(record.u64(4)), call);
+            }
+            _ => {}
+        }
+        Ok(Some(node))
+    }
+}
+
+impl Instance {
+    fn decide(&mut self, node: u16, now: Time, reply: &mut Reply) {
+        let brain = &mut self.brain;
+        while let Some((id, number)) = brain.next_recall() {
+            reply.push(11, node, &[&id.0.to_be_bytes(), &[number.0]]);
+        }
+        while let Some(shot) = brain.next_shot(now) {
+            let id = shot.api_call.0.to_be_bytes();
+            reply.push(2, node, &[&id, &cache_bytes(shot.cache), &span_bytes(shot.give_up_after)]);
+        }
+        while let Some((id, answer)) = brain.next_answer(now) {
+            match answer {
+                Answer::RateLimited { come_back } => {
+                    reply.push(7, node, &[&id.0.to_be_bytes(), &span_bytes(come_back)]);
+                }
+                Answer::Errored => reply.push(10, node, &[&id.0.to_be_bytes()]),
+            }
+        }
+        while let Some((id, number)) = brain.next_recall() {
+            reply.push(11, node, &[&id.0.to_be_bytes(), &[number.0]]);
+        }
+        while let Some(cache) = brain.next_check(now) {
+            reply.push(1, node, &[&cache_bytes(cache)]);
+        }
+        if brain.wants_watch(now) {
+            reply.push(12, node, &[&[1]]);
+        }
+        if let Some(at) = brain.next_wake(now).filter(|at| self.wake.is_none_or(|w| *at < w || w <= now)) {
+            self.wake = Some(at);
+            reply.push(3, node, &[&at.0.to_be_bytes(), &at.0.to_be_bytes()]);
+        }
+    }
+}
+
+fn listing(entry: Record<'_>) -> Listing {
+    let started = entry.u64(15);
+    Listing {
+        cache: entry.cache(9),
+        kind: KindId(entry.u16(0)),
+        size: f64::from(entry.f32(2)),
+        zone: ZoneId(entry.u16(6)),
+        cell: CellId(entry.u16(23)),
+        ready: entry.u8(8) == 1,
+        started: (started != 0).then_some(Time(started)),
+    }
+}
+
+fn outcome(code: u8) -> Option<Outcome> {
+    Some(match code {
+        0 => Outcome::Fulfilled,
+        1 => Outcome::Recalled,
+        4 => Outcome::TimedOut,
+        5 => Outcome::Lacking,
+        8 => Outcome::Full,
+        9 => Outcome::Moot,
+        10 => Outcome::Reset,
+        13 => Outcome::Errored,
+        14 => Outcome::Unreachable,
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/adapter/src/settings.rs
@@ -0,0 +1,157 @@
+//! Decodes the settings text; keys that are not read are skipped.
+
+use granitelb::ids::KindId;
+use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::units::Span;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Params {
+    #[serde(default)]
+    billed_value_per: String,
+    bounds: Bounds,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    load_info: LoadInfo,
+    products: Vec<ProductParams>,
+    rules: Rules,
+    #[serde(default = "one")]
+    siblings: u32,
+    #[serde(default)]
+    specifics: Specifics,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    weight_kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Bounds {
+    max_retry_after_us: u64,
+    may_cancel: bool,
+    may_probe: bool,
+    most_shots: u8,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+impl Default for Bounds {
+    /// Nothing is allowed that is not said to be.
+    fn default() -> Bounds {
+        Bounds {
+            max_retry_after_us: 0,
+            may_cancel: false,
+            may_probe: false,
+            most_shots: 1,
+            retry_after: false,
+            second_copies: false,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct LoadInfo {
+    columns: Vec<String>,
+    how: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ProductParams {
+    #[serde(default = "one_f")]
+    billed_value: f64,
+    client_timeout_us: u64,
+    #[serde(default)]
+    dedup_scope: String,
+    effect: String,
+    latency_slo_us: u64,
+    #[serde(default)]
+    window_us: u64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Rules {
+    cold_from: f64,
+    fall_multiple: f64,
+    fall_us: u64,
+    must_ask_in_us: u64,
+    warm_after_us: u64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Specifics {
+    mode: String,
+    origin_kind: i64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Tenant {
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn one_f() -> f64 {
+    1.0
+}
+
+pub fn decode(text: &[u8]) -> Result<Settings, serde_json::Error> {
+    let params: Params = serde_json::from_slice(text)?;
+    let origin = u16::try_from(params.specifics.origin_kind).ok().map(KindId);
+    let mode = match (params.specifics.mode.as_str(), origin) {
+        ("aside", Some(origin)) => Mode::Aside { origin },
+        _ => Mode::Through,
+    };
+    let bounds = params.bounds;
+    let rules = params.rules;
+    Ok(Settings {
+        mode,
+        products: params.products.iter().map(product).collect(),
+        quotas_per_s: params.tenants.iter().map(|t| t.quota_per_s).collect(),
+        nodes: f64::from(params.siblings.max(1)),
+        list_on_request: params.discovery == "ask",
+        must_ask_in: Span(rules.must_ask_in_us),
+        cold_from: rules.cold_from,
+        warm_after: Span(rules.warm_after_us),
+        fall_multiple: rules.fall_multiple,
+        fall_window: Span(rules.fall_us),
+        max_shots: bounds.most_shots,
+        second_copies: bounds.second_copies,
+        may_recall: bounds.may_cancel,
+        may_check: bounds.may_probe,
+        max_come_back: Span(if bounds.retry_after { bounds.max_retry_after_us } else { 0 }),
+        value_by_work: params.billed_value_per == "work",
+        utilisation_column: params.load_info.columns.iter().position(|c| c == "utilization"),
+        reports_need_checks: params.load_info.how == "pull",
+        steady_sizes: matches!(params.weight_kind.as_str(), "nominal" | "rough"),
+    })
+}
+
+fn product(params: &ProductParams) -> Product {
+    let scope = match params.dedup_scope.as_str() {
+        "all" => DedupScope::All,
+        "zone" => DedupScope::Zone,
+        _ => DedupScope::Cell,
+    };
+    Product {
+        slo: Span(params.latency_slo_us),
+        client_timeout: Span(params.client_timeout_us),
+        billed_value: params.billed_value,
+        effect: match params.effect.as_str() {
+            "read_like" => Effect::Idempotent,
+            "idempotency_key" => Effect::Deduplicated { scope, window: Span(params.window_us) },
+            // What is not known to be harmless is held to be harmful.
+            _ => Effect::NonIdempotent,
+        },
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,990 @@
+//! All decisions of one node. How to call it: make a [`Brain`] from the settings; tell it what happens
+//! (`caches_listed`, `list_failed`, `api_call`, `client_left`, `shot_ended`, `cache_checked`: they only
+//! update what is known); then pull `next_shot`, `next_answer`, `next_recall`, `next_check` and
+//! `wants_watch` until none is left, and call again by `next_wake`. The interface is the block
+//! `impl Brain` headed "Interface". The ordinary path is `ranked`: highest learned weight among a key's
+//! three candidates. Rules are kept in `may_send`, which every shot passes, and `answer`, which every
+//! final answer of ours passes. Where this leaves its design: `docs/design.md`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::ops::Bound::{Excluded, Unbounded};
+
+use crate::decay::{FadingLevel, FadingMean, FadingSum};
+use crate::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
+use crate::settings::{DedupScope, Effect, Mode, Settings};
+use crate::units::{Span, Time};
+
+// The mechanism. Its source leaves these figures open.
+/// Candidates of a key.
+const CANDIDATES: usize = 3;
+/// Enough that one slot holds about a thousandth of the keys.
+const SLOTS: u64 = 1024;
+/// Starting weights by place, each raised by up to `START_SPREAD` by the key's hash, so that a push
+/// moves a cache's keys one after another and not all at once.
+const START: [f64; CANDIDATES] = [0.6, 0.4, 0.2];
+const START_SPREAD: f64 = 0.3;
+/// The pull's rate η and the width λe^(−f) + β of its neighbourhood.
+const PULL: f64 = 0.05;
+const WIDTH_SHARE: f64 = 0.5;
+const WIDTH_BASE: f64 = 0.2;
+/// The push: α, its memory K (under one, so that it dies out), d, and the weight it drives towards.
+const PUSH: f64 = 0.05;
+const PUSH_KEPT: f64 = 0.5;
+const PUSH_STEEPNESS: f64 = 1.0;
+const PUSH_TARGET: f64 = 0.9;
+const LEARNING_STEP: Span = Span::from_millis(250);
+/// Keys with stored weights; past it the half that was asked for longest ago goes.
+const MAX_KEYS: usize = 4096;
+/// How long usage and rates are remembered: a few learning steps, many API calls.
+const USAGE_MEMORY: Span = Span::from_millis(3000);
+/// A node's own usage figure counts as the mean until it rests on more than this many shots.
+const USAGE_PRIOR: f64 = 4.0;
+
+// Around it.
+/// Outcomes that judge a cache's health, and how many of them must be successes.
+const OUTCOMES_KEPT: usize = 5;
+const SUCCESSES_NEEDED: usize = 2;
+/// First wait before a failing cache is tried again, doubled up to the last.
+const FIRST_TRIAL: Span = Span::from_millis(1000);
+const LAST_TRIAL: Span = Span::from_millis(8000);
+/// In-flight limits start so high, and are cut to this share.
+const FIRST_LIMIT: f64 = 4.0;
+const LIMIT_CUT: f64 = 0.7;
+const MAX_LIMIT: f64 = 512.0;
+/// An answer slower than this share of its SLO tells of a queue.
+const SLOW_SHARE: f64 = 0.6;
+/// Share of an SLO that an API call may wait here, with nothing out, for room.
+const PATIENCE: f64 = 0.4;
+/// A cache silent for this share of an SLO since a shot was sent is held to hang.
+const SILENCE_SHARE: f64 = 0.5;
+/// A call over its tenant's quota uses only this share of a limit.
+const OVER_QUOTA_SHARE: f64 = 0.5;
+/// A tenant's unused quota is kept for this long.
+const QUOTA_MEMORY_S: f64 = 1.0;
+/// Reports older than this many check periods say nothing of the present.
+const CHECK_EVERY: Span = Span::from_millis(1000);
+const REPORT_LASTS: Span = Span::from_millis(3000);
+/// How often waiting calls are looked at when nothing happens.
+const RECHECK: Span = Span::from_millis(20);
+/// A refused or unanswered watch is asked for again after this, growing, with jitter.
+const FIRST_REASK: Span = Span::from_millis(500);
+
+/// One line of the list of caches.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub cache: CacheId,
+    pub kind: KindId,
+    pub size: f64,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    /// Whether new work may be sent: neither draining nor gone.
+    pub ready: bool,
+    /// When it last started, unless long ago.
+    pub started: Option<Time>,
+}
+
+/// What a client asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct ApiCall {
+    pub product: ProductId,
+    pub tenant: Option<TenantId>,
+    pub key: Key,
+    /// How long until the client gives up on this try.
+    pub budget: Span,
+    /// The estimated work, where known.
+    pub work: Option<Span>,
+    pub write: bool,
+}
+
+/// How a shot ended, as far as that decides what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Fulfilled,
+    /// The cache lacks the key.
+    Lacking,
+    /// Turned away unseen.
+    Full,
+    /// No connection.
+    Unreachable,
+    /// Never sent.
+    Moot,
+    TimedOut,
+    Errored,
+    Reset,
+    Recalled,
+}
+
+/// A shot to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shot {
+    pub api_call: ApiCallId,
+    pub cache: CacheId,
+    pub give_up_after: Span,
+}
+
+/// A final answer that the node gives itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    RateLimited { come_back: Span },
+    Errored,
+}
+
+struct Cache {
+    listing: Listing,
+    /// Failures are `false`.
+    outcomes: VecDeque<bool>,
+    /// While it fails: when one shot may try it again, and the wait after that.
+    trial: Option<(Time, Span)>,
+    in_flight: u32,
+    limit: f64,
+    last_cut: Time,
+    last_heard: Time,
+    usage: FadingLevel,
+    shots: FadingSum,
+    /// Work sent within the fall window.
+    burst: FadingSum,
+    push: f64,
+    report: Option<(Time, f64)>,
+    checked: Option<Time>,
+}
+
+struct KeyWeights {
+    table: u64,
+    slots: [Option<(CacheId, f64)>; CANDIDATES],
+    asked: FadingSum,
+    last_asked: Time,
+}
+
+/// Where an open API call stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    /// Waits for this node's own fetch of the same key.
+    Joined,
+    Out,
+}
+
+struct Open {
+    call: ApiCall,
+    stage: Stage,
+    rank: (u64, u64),
+    slo_end: Time,
+    end: Time,
+    patience_end: Time,
+    over_quota: bool,
+    /// Every shot: where, when, and whether it is still out.
+    shots: Vec<(CacheId, Time, bool)>,
+    /// The first shot that may have run.
+    may_have_run: Option<usize>,
+    /// Caches that lacked the key or did not serve it.
+    passed: Vec<CacheId>,
+    lacking: bool,
+}
+
+struct ProductRecord {
+    /// How long a fulfilled shot takes, in seconds.
+    latency: FadingMean,
+    origin_latency: FadingMean,
+}
+
+pub struct Brain {
+    settings: Settings,
+    seed: u64,
+    chances: u64,
+    caches: BTreeMap<CacheId, Cache>,
+    table: Vec<[Option<CacheId>; CANDIDATES]>,
+    table_version: u64,
+    keys: HashMap<Key, KeyWeights>,
+    asked: FadingSum,
+    learned: Time,
+    products: Vec<ProductRecord>,
+    /// Each tenant's unused quota and when it was reckoned.
+    quotas: Vec<(f64, Time)>,
+    open: HashMap<ApiCallId, Open>,
+    ready: BTreeMap<(u64, u64), ApiCallId>,
+    cursor: Option<(u64, u64)>,
+    alarms: BTreeSet<(Time, ApiCallId)>,
+    fetching: HashMap<Key, ApiCallId>,
+    answers: VecDeque<(ApiCallId, Answer)>,
+    recalls: VecDeque<(ApiCallId, ShotNumber)>,
+    calls_seen: u64,
+    reask: Option<(Time, Span)>,
+    now: Time,
+}
+
+fn hash_of(parts: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A hash as a number from 0 to 1.
+fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Interface.
+impl Brain {
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
+        let first_latency = |p: &crate::settings::Product| p.slo.as_secs_f64() / 8.0;
+        let products = settings.products.iter();
+        let products = products.map(|p| ProductRecord {
+            latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
+            origin_latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
+        });
+        Brain {
+            products: products.collect(),
+            quotas: settings
+                .quotas_per_s
+                .iter()
+                .map(|q| (q / settings.nodes * QUOTA_MEMORY_S, now))
+                .collect(),
+            reask: settings.list_on_request.then_some((now, FIRST_REASK)),
+            settings,
+            seed,
+            chances: 0,
+            caches: BTreeMap::new(),
+            table: Vec::new(),
+            table_version: 0,
+            keys: HashMap::new(),
+            asked: FadingSum::new(USAGE_MEMORY.scaled(4.0), now),
+            learned: now,
+            open: HashMap::new(),
+            ready: BTreeMap::new(),
+            cursor: None,
+            alarms: BTreeSet::new(),
+            fetching: HashMap::new(),
+            answers: VecDeque::new(),
+            recalls: VecDeque::new(),
+            calls_seen: 0,
+            now,
+        }
+    }
+
+    /// The list that an earlier life of this node last saw; it may be old.
+    pub fn caches_remembered(&mut self, now: Time, listings: &[Listing]) {
+        self.take_list(now, listings, true);
+    }
+
+    /// The list of caches, or its changed lines. Where it only comes on request, the watch stands.
+    pub fn caches_listed(&mut self, now: Time, listings: &[Listing], complete: bool) {
+        self.reask = None;
+        self.take_list(now, listings, complete);
+    }
+
+    /// The list could not be had, or the watch was lost.
+    pub fn list_failed(&mut self, now: Time) {
+        self.heard(now);
+        let wait = self.reask.map_or(FIRST_REASK, |(_, wait)| Span(wait.0 * 2));
+        let wait = wait.min(self.settings.must_ask_in.scaled(0.25)).max(FIRST_REASK);
+        let jitter = 0.5 + self.chance();
+        self.reask = Some((now + wait.scaled(jitter), wait));
+    }
+
+    pub fn api_call(&mut self, now: Time, id: ApiCallId, call: ApiCall) {
+        self.heard(now);
+        let Some(product) = self.settings.products.get(call.product.0 as usize) else {
+            self.answers.push_back((id, Answer::Errored));
+            return;
+        };
+        let slo = product.slo.min(call.budget);
+        let mut value = product.billed_value;
+        if !self.settings.value_by_work {
+            value /= self.products[call.product.0 as usize].latency.read(now).max(1e-6);
+        }
+        let over_quota = !self.within_quota(now, call.tenant);
+        self.calls_seen += 1;
+        let first = if over_quota { 1u64 << 63 } else { 0 };
+        let rank = (first | (u64::MAX / 2 - value.to_bits() / 2), self.calls_seen);
+        let patience = if over_quota { Span::ZERO } else { slo.scaled(PATIENCE) };
+        let open = Open {
+            call,
+            stage: Stage::Waiting,
+            rank,
+            slo_end: now + slo,
+            end: now + call.budget,
+            patience_end: now + patience,
+            over_quota,
+            shots: Vec::new(),
+            may_have_run: None,
+            passed: Vec::new(),
+            lacking: false,
+        };
+        self.open.insert(id, open);
+        self.ready.insert(rank, id);
+        self.alarms.insert((now + call.budget, id));
+        self.note_asked(now, &call);
+    }
+
+    /// The client no longer waits for this call, or was answered otherwise.
+    pub fn client_left(&mut self, now: Time, id: ApiCallId) {
+        self.heard(now);
+        self.close(id);
+    }
+
+    /// One shot's end; `answered` when the call is finished with it, `load` the report that came along.
+    #[allow(clippy::too_many_arguments)]
+    pub fn shot_ended(
+        &mut self,
+        now: Time,
+        id: ApiCallId,
+        number: ShotNumber,
+        cache: CacheId,
+        outcome: Outcome,
+        latency: Span,
+        answered: bool,
+        load: &[f32],
+    ) {
+        self.heard(now);
+        self.note_report(now, cache, load);
+        self.judge(now, cache, id, outcome, latency);
+        let origin = self.is_origin(cache);
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        if let Some(shot) = open.shots.get_mut(number.0 as usize) {
+            shot.2 = false;
+        }
+        if !outcome.proves_it_never_ran() && open.may_have_run.is_none_or(|n| n > number.0 as usize) {
+            open.may_have_run = Some(number.0 as usize);
+        }
+        match outcome {
+            Outcome::Lacking if !origin => open.lacking = true,
+            Outcome::Full | Outcome::Moot | Outcome::Fulfilled => {}
+            _ if origin => {}
+            _ => open.passed.push(cache),
+        }
+        if outcome == Outcome::Lacking && !origin {
+            open.passed.push(cache);
+        }
+        if origin && !open.call.write {
+            self.release_joined(id);
+        }
+        if answered {
+            self.close(id);
+        } else if self.open.get(&id).is_some_and(|o| o.shots.iter().all(|s| !s.2)) {
+            self.set_waiting(id);
+        }
+    }
+
+    /// A check's result.
+    pub fn cache_checked(&mut self, now: Time, cache: CacheId, load: &[f32]) {
+        self.heard(now);
+        self.note_report(now, cache, load);
+    }
+
+    /// The next shot to send now.
+    pub fn next_shot(&mut self, now: Time) -> Option<Shot> {
+        self.advance(now);
+        loop {
+            let after = self.cursor.map_or(Unbounded, Excluded);
+            let (&rank, &id) = self.ready.range((after, Unbounded)).next()?;
+            self.cursor = Some(rank);
+            if let Some(shot) = self.place(now, id) {
+                return Some(shot);
+            }
+        }
+    }
+
+    /// The next final answer to give.
+    pub fn next_answer(&mut self, now: Time) -> Option<(ApiCallId, Answer)> {
+        self.advance(now);
+        self.answers.pop_front()
+    }
+
+    /// The next shot to call off.
+    pub fn next_recall(&mut self) -> Option<(ApiCallId, ShotNumber)> {
+        self.recalls.pop_front()
+    }
+
+    /// The next cache to check on.
+    pub fn next_check(&mut self, now: Time) -> Option<CacheId> {
+        if !self.settings.may_check || !self.settings.reports_need_checks {
+            return None;
+        }
+        let mode = self.settings.mode;
+        let due = |c: &&mut Cache| {
+            let old = c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
+            old && c.listing.ready && !c.listing.kind_is(mode)
+        };
+        let cache = self.caches.values_mut().find(due)?;
+        cache.checked = Some(now);
+        Some(cache.listing.cache)
+    }
+
+    /// Whether to ask for a watch on the list now.
+    pub fn wants_watch(&mut self, now: Time) -> bool {
+        let Some((_, wait)) = self.reask.filter(|(at, _)| *at <= now) else {
+            return false;
+        };
+        // An unanswered call is repeated well before the node counts as not asking.
+        self.reask = Some((now + self.settings.must_ask_in.scaled(0.25).max(wait), wait));
+        true
+    }
+
+    /// When to pull again if nothing happens before.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let mut wake = self.alarms.first().map(|a| a.0);
+        let mut sooner = |at: Time| wake = Some(wake.map_or(at, |w| w.min(at)));
+        if !self.ready.is_empty() {
+            sooner(now + RECHECK);
+        }
+        if let Some((at, _)) = self.reask {
+            sooner(at);
+        }
+        if self.settings.may_check && self.settings.reports_need_checks {
+            let checked = self.caches.values().filter(|c| c.listing.ready).filter_map(|c| c.checked).min();
+            sooner(checked.map_or(now, |at| at) + CHECK_EVERY);
+        }
+        wake.map(|w| w.max(now))
+    }
+}
+
+/// Choosing a cache.
+impl Brain {
+    /// The shot for a call that waits, if one can be sent; else it may be given up or go on waiting.
+    fn place(&mut self, now: Time, id: ApiCallId) -> Option<Shot> {
+        let open = self.open.get(&id)?;
+        let product = &self.products[open.call.product.0 as usize];
+        let reads_here = !(self.settings.mode != Mode::Through && (open.call.write || open.lacking));
+        let typical = if reads_here { &product.latency } else { &product.origin_latency };
+        let hopeless = now + Span::from_secs_f64(typical.read(now) * 0.5) > open.slo_end;
+        let out_of_patience = now >= open.patience_end && open.shots.is_empty() && !open.over_quota;
+        if hopeless || open.shots.len() >= self.settings.max_shots as usize {
+            self.give_up(id);
+            return None;
+        }
+        let key = open.call.key;
+        let reading = !open.call.write;
+        if reading && self.fetching.get(&key).is_some_and(|f| *f != id) {
+            let (rank, open) = (open.rank, self.open.get_mut(&id)?);
+            open.stage = Stage::Joined;
+            self.ready.remove(&rank);
+            // A joined call whose fetch drags on is given up at its SLO.
+            self.alarms.insert((open.slo_end, id));
+            return None;
+        }
+        let target = if reads_here { self.best_candidate(now, id) } else { self.best_origin(now, id) };
+        let Some(cache) = target else {
+            let open = self.open.get(&id)?;
+            if out_of_patience || open.over_quota && open.shots.is_empty() {
+                self.give_up(id);
+            }
+            return None;
+        };
+        Some(self.send(now, id, cache))
+    }
+
+    /// A key's candidates that the list holds, the highest weight first.
+    fn ranked(&self, key: Key) -> Vec<(CacheId, f64)> {
+        let slots = match self.keys.get(&key).filter(|k| k.table == self.table_version) {
+            Some(weights) => weights.slots,
+            None => self.start_weights(key),
+        };
+        let mut ranked: Vec<_> = slots.into_iter().flatten().collect();
+        ranked.sort_by(|a, b| b.1.total_cmp(&a.1));
+        ranked
+    }
+
+    /// The candidate of highest weight that may be sent to.
+    fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
+        let open = &self.open[&id];
+        let key = open.call.key;
+        let ranked = self.ranked(key);
+        let free = |c: &&(CacheId, f64)| self.may_send(now, id, c.0) && self.has_room(now, id, c.0);
+        // A cold cache takes over its keys one by one as it warms, the same ones at every node; where all
+        // candidates are cold, the budget alone holds.
+        let taken_over = |c: &&(CacheId, f64)| unit(hash_of((key, c.0, "warm"))) < self.warmth(now, c.0);
+        let warm = ranked.iter().filter(taken_over).find(free);
+        if warm.is_some() || ranked.iter().any(|c| taken_over(&c)) {
+            return warm.map(|c| c.0);
+        }
+        ranked.iter().find(free).map(|c| c.0)
+    }
+
+    fn best_origin(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
+        let origins = self.caches.keys().copied().filter(|c| self.is_origin(*c));
+        origins.into_iter().find(|c| self.may_send(now, id, *c) && self.has_room(now, id, *c))
+    }
+
+    /// Whether health and the in-flight limit leave room at this cache.
+    fn has_room(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
+        let open = &self.open[&id];
+        let Some(c) = self.caches.get(&cache) else {
+            return false;
+        };
+        if open.passed.contains(&cache) {
+            return false;
+        }
+        if let Some((at, _)) = c.trial {
+            // Only what may run again is risked on a cache that fails.
+            return at <= now && c.in_flight == 0 && self.effect(open) == Effect::Idempotent;
+        }
+        let share = if open.over_quota { OVER_QUOTA_SHARE } else { 1.0 };
+        (c.in_flight as f64) < (c.limit * share).max(1.0)
+    }
+
+    /// The present share of its capacity that a cache has at least.
+    fn warmth(&self, now: Time, cache: CacheId) -> f64 {
+        let s = &self.settings;
+        let started = self.caches.get(&cache).and_then(|c| c.listing.started);
+        let Some(started) = started.filter(|_| s.warm_after > Span::ZERO) else {
+            return 1.0;
+        };
+        let age = (now - started).as_secs_f64() / s.warm_after.as_secs_f64();
+        s.cold_from + (1.0 - s.cold_from) * age.min(1.0)
+    }
+
+    /// The gate of the rules that every shot passes.
+    fn may_send(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
+        let (Some(open), Some(c)) = (self.open.get(&id), self.caches.get(&cache)) else {
+            return false;
+        };
+        // Rule 1: nothing for a call that has ended.
+        if now >= open.end || open.shots.len() >= self.settings.max_shots as usize {
+            return false;
+        }
+        // Rule 3: nothing new from the moment the node knows, well within the grace.
+        if !c.listing.ready {
+            return false;
+        }
+        // Rule 2: no effect twice, and no two shots out where the site forbids it.
+        let out = open.shots.iter().any(|s| s.2);
+        if out && !self.settings.second_copies {
+            return false;
+        }
+        let first_out = open.shots.iter().position(|s| s.2);
+        let risky = [open.may_have_run, first_out].into_iter().flatten().min();
+        if let Some(first) = risky {
+            let (sent_to, sent_at, _) = open.shots[first];
+            let again = match self.effect(open) {
+                Effect::Idempotent => true,
+                Effect::NonIdempotent => false,
+                Effect::Deduplicated { scope, window } => {
+                    let old = self.caches.get(&sent_to).map(|c| c.listing);
+                    let same = match scope {
+                        DedupScope::All => true,
+                        DedupScope::Zone => old.is_some_and(|l| l.zone == c.listing.zone),
+                        DedupScope::Cell => old.is_some_and(|l| l.cell == c.listing.cell),
+                    };
+                    // Half the window, since the shot still has to arrive and wait its turn there.
+                    same && now < sent_at + window.scaled(0.5)
+                }
+            };
+            if !again {
+                return false;
+            }
+        }
+        // Rule 4: the node's part of what a cold cache stands.
+        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, cache)
+    }
+
+    /// The work that this node may have sent to a cold cache within the fall window: what a warm cache
+    /// of its size gets from this node, times its warmth. All nodes together stay near the cache's part
+    /// of the load, and so far under the multiple of its capacity. One call is always within it.
+    fn cold_budget(&self, now: Time, cache: CacheId) -> f64 {
+        let warm = self.caches.values().filter(|c| {
+            let listing = &c.listing;
+            listing.ready && !listing.kind_is(self.settings.mode) && self.warmth(now, listing.cache) >= 1.0
+        });
+        let (work, size) =
+            warm.fold((0.0, 0.0), |(w, s), c| (w + c.burst.read(now), s + self.size_of(&c.listing)));
+        let size_here = self.caches.get(&cache).map_or(0.0, |c| self.size_of(&c.listing));
+        let share = if size > 0.0 { work / size * size_here } else { 0.0 };
+        (share * self.warmth(now, cache)).max(f64::MIN_POSITIVE)
+    }
+
+    fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
+        let origin = self.is_origin(cache);
+        let work = self.work_of(now, &self.open[&id].call);
+        let open = self.open.get_mut(&id).expect("placed calls are open");
+        let slo = self.settings.products[open.call.product.0 as usize].slo;
+        self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
+        let end = open.end;
+        open.shots.push((cache, now, true));
+        open.stage = Stage::Out;
+        self.ready.remove(&open.rank);
+        if origin && !open.call.write {
+            self.fetching.insert(open.call.key, id);
+        }
+        let c = self.caches.get_mut(&cache).expect("candidates are listed");
+        c.in_flight += 1;
+        c.usage.step_by(now, 1.0);
+        c.shots.add(now, 1.0);
+        c.burst.add(now, work);
+        if let Some((_, wait)) = c.trial {
+            c.trial = Some((now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
+        }
+        Shot { api_call: id, cache, give_up_after: end - now }
+    }
+}
+
+/// Ending calls.
+impl Brain {
+    /// Ends a call at once: rate-limited where that promise holds, else errored.
+    fn give_up(&mut self, id: ApiCallId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let slo = self.settings.products[open.call.product.0 as usize].slo;
+        let harmless = match self.effect(open) {
+            Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
+            _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.2),
+        };
+        let come_back = slo.scaled(0.5).min(self.settings.max_come_back);
+        let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
+        self.answer(id, answer);
+    }
+
+    /// The gate that every final answer of ours passes: one for each open call, and nothing after it.
+    fn answer(&mut self, id: ApiCallId, answer: Answer) {
+        let Some(open) = self.open.get(&id) else { return };
+        if self.settings.may_recall {
+            let out = open.shots.iter().enumerate().filter(|(_, s)| s.2);
+            self.recalls.extend(out.map(|(n, _)| (id, ShotNumber(n as u8))));
+        }
+        self.close(id);
+        self.answers.push_back((id, answer));
+    }
+
+    fn close(&mut self, id: ApiCallId) {
+        self.release_joined(id);
+        let Some(open) = self.open.remove(&id) else { return };
+        self.ready.remove(&open.rank);
+        self.alarms.remove(&(open.end, id));
+        self.alarms.remove(&(open.slo_end, id));
+    }
+
+    /// Lets the calls go on that waited for this call's fetch.
+    fn release_joined(&mut self, id: ApiCallId) {
+        let Some(key) = self.open.get(&id).map(|o| o.call.key) else {
+            return;
+        };
+        if self.fetching.get(&key) != Some(&id) {
+            return;
+        }
+        self.fetching.remove(&key);
+        let mut joined: Vec<_> =
+            self.open.iter().filter(|(_, o)| o.stage == Stage::Joined && o.call.key == key).collect();
+        joined.sort_by_key(|(_, o)| o.rank);
+        for id in joined.into_iter().map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.set_waiting(id);
+        }
+    }
+
+    fn set_waiting(&mut self, id: ApiCallId) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.stage = Stage::Waiting;
+        self.ready.insert(open.rank, id);
+    }
+}
+
+/// What is known.
+impl Brain {
+    fn take_list(&mut self, now: Time, listings: &[Listing], complete: bool) {
+        self.heard(now);
+        if complete {
+            let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
+            for cache in self.caches.values_mut().filter(|c| !named.contains(&c.listing.cache)) {
+                cache.listing.ready = false;
+            }
+        }
+        for listing in listings {
+            match self.caches.get_mut(&listing.cache) {
+                // A restart under the same id begins cold and with a clean slate.
+                Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
+                Some(cache) => {
+                    let in_flight = cache.in_flight;
+                    *cache = Cache::new(*listing, self.settings.fall_window, now);
+                    cache.in_flight = in_flight;
+                    cache.usage.step_by(now, in_flight as f64);
+                }
+                None => {
+                    let cache = Cache::new(*listing, self.settings.fall_window, now);
+                    self.caches.insert(listing.cache, cache);
+                }
+            }
+        }
+        self.caches
+            .retain(|_, c| c.listing.ready || c.in_flight > 0 || c.listing.kind_is(self.settings.mode));
+        self.rebuild_table();
+    }
+
+    fn heard(&mut self, now: Time) {
+        self.advance(now);
+        self.cursor = None;
+    }
+
+    /// Brings everything up to date that moves with time alone.
+    fn advance(&mut self, now: Time) {
+        if now > self.now {
+            self.now = now;
+            self.cursor = None;
+        }
+        while let Some(&(at, id)) = self.alarms.first().filter(|a| a.0 <= now) {
+            self.alarms.remove(&(at, id));
+            let Some(open) = self.open.get(&id) else { continue };
+            if at >= open.end {
+                self.answer(id, Answer::Errored);
+            } else if open.stage == Stage::Out {
+                self.recall_silent(now, id);
+            } else if at >= open.slo_end {
+                self.give_up(id);
+            }
+        }
+        let steps = (now - self.learned).0 / LEARNING_STEP.0;
+        if steps > 0 {
+            self.learned = self.learned + Span(steps * LEARNING_STEP.0);
+            self.learn(now);
+        }
+    }
+
+    /// Calls off a shot at a cache that has not said a word since, so that another can be sent in time.
+    /// A slow answer from a cache that goes on answering is waited for: sending that elsewhere would
+    /// do its work, and its fetch from the origin, twice.
+    fn recall_silent(&mut self, now: Time, id: ApiCallId) {
+        let open = &self.open[&id];
+        let last = open.shots.len() - 1;
+        let (cache, sent, out) = open.shots[last];
+        let silent = self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
+        let idempotent = self.effect(open) == Effect::Idempotent && !self.is_origin(cache);
+        if out && silent && idempotent && self.settings.may_recall && now < open.slo_end {
+            self.recalls.push_back((id, ShotNumber(last as u8)));
+        }
+    }
+
+    /// One learning step: the push on every stored weight, by its cache's usage against the mean.
+    fn learn(&mut self, now: Time) {
+        let mode = self.settings.mode;
+        let settings = &self.settings;
+        let known = self.caches.values().filter(|c| c.listing.ready && !c.listing.kind_is(mode));
+        let usages: Vec<(CacheId, Option<f64>)> = known
+            .map(|c| {
+                let size = if settings.steady_sizes { c.listing.size.max(1e-3) } else { 1.0 };
+                let reported = c.report.filter(|r| now - r.0 <= REPORT_LASTS).map(|r| r.1);
+                let own =
+                    if settings.utilisation_column.is_some() { None } else { Some(c.usage.read(now) / size) };
+                (c.listing.cache, reported.or(own))
+            })
+            .collect();
+        let values: Vec<f64> = usages.iter().filter_map(|u| u.1).collect();
+        let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+        for (id, usage) in usages {
+            let cache = self.caches.get_mut(&id).expect("listed above");
+            let trust = match self.settings.utilisation_column {
+                Some(_) => 1.0,
+                None => cache.shots.read(now) / (cache.shots.read(now) + USAGE_PRIOR),
+            };
+            let relative = if mean > 0.0 { usage.map_or(1.0, |u| u / mean) } else { 1.0 };
+            let usage = 1.0 + (relative - 1.0) * trust;
+            cache.push = PUSH * (1.0 - usage) + PUSH_KEPT * cache.push;
+        }
+        let psi = |b: f64| (1.0 - (-PUSH_STEEPNESS * b).exp()) / (1.0 + (-PUSH_STEEPNESS * b).exp());
+        for weights in self.keys.values_mut() {
+            for (id, w) in weights.slots.iter_mut().flatten() {
+                let b = self.caches.get(id).map_or(0.0, |c| c.push);
+                *w += if b >= 0.0 { psi(b) * (PUSH_TARGET - *w) } else { psi(b) * *w };
+            }
+        }
+    }
+
+    /// Stores a key's weights and pulls them towards the candidates that rank high.
+    fn note_asked(&mut self, now: Time, call: &ApiCall) {
+        self.asked.add(now, 1.0);
+        if call.write && self.settings.mode != Mode::Through {
+            return;
+        }
+        let fresh = self.start_weights(call.key);
+        let total = self.asked.read(now).max(1.0);
+        let version = self.table_version;
+        let memory = USAGE_MEMORY.scaled(4.0);
+        let weights = self.keys.entry(call.key).or_insert_with(|| KeyWeights {
+            table: version,
+            slots: fresh,
+            asked: FadingSum::new(memory, now),
+            last_asked: now,
+        });
+        if weights.table != version {
+            let old = weights.slots;
+            let kept = |c: CacheId| old.iter().flatten().find(|o| o.0 == c).map(|o| o.1);
+            weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
+            weights.table = version;
+        }
+        weights.asked.add(now, 1.0);
+        weights.last_asked = now;
+        let width = WIDTH_SHARE * (-weights.asked.read(now) / total).exp() + WIDTH_BASE;
+        let before = weights.slots;
+        for (id, w) in weights.slots.iter_mut().flatten() {
+            let rank = before.iter().flatten().filter(|o| o.1 > *w || o.1 == *w && o.0 < *id).count() as f64;
+            *w += PULL * (-rank * rank / (2.0 * width * width)).exp() * (1.0 - *w);
+        }
+        if self.keys.len() > MAX_KEYS {
+            let mut times: Vec<Time> = self.keys.values().map(|k| k.last_asked).collect();
+            let middle = *times.select_nth_unstable(MAX_KEYS / 2).1;
+            self.keys.retain(|_, k| k.last_asked > middle);
+        }
+    }
+
+    fn start_weights(&self, key: Key) -> [Option<(CacheId, f64)>; CANDIDATES] {
+        let Some(slot) = self.table.get((hash_of(key) % SLOTS) as usize) else {
+            return [None; CANDIDATES];
+        };
+        let mut weights = [None; CANDIDATES];
+        for (place, cache) in slot.iter().enumerate() {
+            let spread = START_SPREAD * unit(hash_of((key, place)));
+            weights[place] = cache.map(|c| (c, START[place] + spread));
+        }
+        weights
+    }
+
+    /// Each slot ranks the ready caches by a hash of both, stretched by size where sizes are capacities.
+    fn rebuild_table(&mut self) {
+        let mode = self.settings.mode;
+        let ready: Vec<Listing> =
+            self.caches.values().map(|c| c.listing).filter(|l| l.ready && !l.kind_is(mode)).collect();
+        self.table_version += 1;
+        self.table = (0..SLOTS)
+            .map(|slot| {
+                let score = |l: &Listing| -unit(hash_of((slot, l.cache))).max(1e-18).ln() / self.size_of(l);
+                let mut ranked: Vec<_> = ready.iter().map(|l| (score(l), l.cache)).collect();
+                ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+                std::array::from_fn(|place| ranked.get(place).map(|r| r.1))
+            })
+            .collect();
+    }
+
+    /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
+    fn judge(&mut self, now: Time, cache: CacheId, id: ApiCallId, outcome: Outcome, latency: Span) {
+        let origin = self.is_origin(cache);
+        let Some(c) = self.caches.get_mut(&cache) else {
+            return;
+        };
+        c.in_flight = c.in_flight.saturating_sub(1);
+        c.usage.step_by(now, -1.0);
+        if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
+            c.last_heard = now;
+        }
+        let healthy = match outcome {
+            Outcome::Fulfilled | Outcome::Lacking | Outcome::Full => Some(true),
+            Outcome::Moot => None,
+            // A recalled shot met silence, or its client left.
+            _ => Some(false),
+        };
+        if let Some(healthy) = healthy {
+            c.outcomes.push_back(healthy);
+            if c.outcomes.len() > OUTCOMES_KEPT {
+                c.outcomes.pop_front();
+            }
+            let good = c.outcomes.iter().filter(|o| **o).count();
+            let failing = c.outcomes.len() >= OUTCOMES_KEPT.min(3) && good < SUCCESSES_NEEDED;
+            match c.trial {
+                _ if origin => {}
+                Some(_) if healthy => {
+                    c.trial = None;
+                    c.outcomes.clear();
+                }
+                None if failing => c.trial = Some((now + FIRST_TRIAL, FIRST_TRIAL)),
+                _ => {}
+            }
+        }
+        let Some(open) = self.open.get(&id) else { return };
+        let product = open.call.product.0 as usize;
+        let slo = self.settings.products[product].slo;
+        let crowded = match outcome {
+            Outcome::Full | Outcome::TimedOut | Outcome::Recalled | Outcome::Unreachable => true,
+            Outcome::Fulfilled | Outcome::Lacking => latency > slo.scaled(SLOW_SHARE),
+            _ => false,
+        };
+        // One cut for one crowd: only shots sent after the last cut tell of the limit it set.
+        if crowded && now - c.last_cut >= latency {
+            c.limit = (c.limit * LIMIT_CUT).max(1.0);
+            c.last_cut = now;
+        } else if !crowded && outcome == Outcome::Fulfilled && c.in_flight as f64 + 1.0 >= c.limit * 0.5 {
+            c.limit = (c.limit + 1.0 / c.limit).min(MAX_LIMIT);
+        }
+        if outcome == Outcome::Fulfilled {
+            let record = &mut self.products[product];
+            let mean = if origin { &mut record.origin_latency } else { &mut record.latency };
+            mean.add(now, latency.as_secs_f64());
+        }
+    }
+
+    fn note_report(&mut self, now: Time, cache: CacheId, load: &[f32]) {
+        let column = self.settings.utilisation_column;
+        let Some(&value) = column.and_then(|n| load.get(n)) else {
+            return;
+        };
+        if let Some(c) = self.caches.get_mut(&cache).filter(|_| value.is_finite()) {
+            c.report = Some((now, f64::from(value).clamp(0.0, 1e3)));
+        }
+    }
+
+    /// Takes one call from its tenant's quota, of which each node counts on an even part.
+    fn within_quota(&mut self, now: Time, tenant: Option<TenantId>) -> bool {
+        let Some(n) = tenant.map(|t| t.0 as usize).filter(|n| *n < self.quotas.len()) else {
+            return true;
+        };
+        let rate = self.settings.quotas_per_s[n] / self.settings.nodes;
+        let (left, at) = &mut self.quotas[n];
+        *left = (*left + (now - *at).as_secs_f64() * rate).min((rate * QUOTA_MEMORY_S).max(1.0));
+        *at = now;
+        let within = *left >= 1.0;
+        *left -= if within { 1.0 } else { 0.0 };
+        within
+    }
+
+    fn work_of(&self, now: Time, call: &ApiCall) -> f64 {
+        let learned = || self.products[call.product.0 as usize].latency.read(now);
+        call.work.map_or_else(learned, |w| w.as_secs_f64())
+    }
+
+    fn effect(&self, open: &Open) -> Effect {
+        self.settings.products[open.call.product.0 as usize].effect
+    }
+
+    fn size_of(&self, listing: &Listing) -> f64 {
+        if self.settings.steady_sizes { listing.size.max(1e-3) } else { 1.0 }
+    }
+
+    fn is_origin(&self, cache: CacheId) -> bool {
+        self.caches.get(&cache).is_some_and(|c| c.listing.kind_is(self.settings.mode))
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.chances += 1;
+        unit(hash_of((self.seed, self.chances)))
+    }
+}
+
+impl Cache {
+    fn new(listing: Listing, fall_window: Span, now: Time) -> Cache {
+        Cache {
+            listing,
+            outcomes: VecDeque::new(),
+            trial: None,
+            in_flight: 0,
+            limit: FIRST_LIMIT,
+            last_cut: now,
+            last_heard: now,
+            usage: FadingLevel::new(USAGE_MEMORY, now),
+            shots: FadingSum::new(USAGE_MEMORY, now),
+            burst: FadingSum::new(fall_window.max(LEARNING_STEP), now),
+            push: 0.0,
+            report: None,
+            checked: None,
+        }
+    }
+}
+
+impl Listing {
+    fn kind_is(&self, mode: Mode) -> bool {
+        matches!(mode, Mode::Aside { origin } if origin == self.kind)
+    }
+}
+
+impl Outcome {
+    fn proves_it_never_ran(self) -> bool {
+        matches!(self, Outcome::Lacking | Outcome::Full | Outcome::Unreachable | Outcome::Moot)
+    }
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,27 @@
+//! One type for each kind of id, so that none can stand in for another.
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty)),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// A cache server, or the origin where the list names it.
+    CacheId(u64),
+    /// One API call; a client's repeat has a new one.
+    ApiCallId(u64),
+    /// What an API call asks for.
+    Key(u64),
+    /// The place of a product in the settings.
+    ProductId(u16),
+    /// The place of a tenant in the settings.
+    TenantId(u32),
+    ZoneId(u16),
+    KindId(u16),
+    CellId(u16),
+    /// Counts the shots of one API call from 0.
+    ShotNumber(u8),
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,74 @@
+//! What the host tells a [`Brain`](crate::brain::Brain) once, at its start.
+
+use crate::ids::KindId;
+use crate::units::Span;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub mode: Mode,
+    pub products: Vec<Product>,
+    /// For each tenant, the API calls a second within its share, over all nodes.
+    pub quotas_per_s: Vec<f64>,
+    /// How many nodes there are, this one included.
+    pub nodes: f64,
+    /// Whether the list of caches only comes when asked for.
+    pub list_on_request: bool,
+    /// How long a node without a watch may go without asking.
+    pub must_ask_in: Span,
+    /// The share of its capacity that a cache starts with at least.
+    pub cold_from: f64,
+    /// How long after its start a cache is warm at the latest.
+    pub warm_after: Span,
+    /// A cold cache sent this many times what it can do, for `fall_window`, falls over.
+    pub fall_multiple: f64,
+    pub fall_window: Span,
+    pub max_shots: u8,
+    pub second_copies: bool,
+    pub may_recall: bool,
+    pub may_check: bool,
+    /// The longest wait that clients heed; zero where they can't be told.
+    pub max_come_back: Span,
+    /// Whether billed value counts per unit of work and not per API call.
+    pub value_by_work: bool,
+    /// Where a load report holds the utilisation, if it does.
+    pub utilisation_column: Option<usize>,
+    /// Whether load reports come with checks only.
+    pub reports_need_checks: bool,
+    /// Whether listed sizes are capacities, not momentary figures.
+    pub steady_sizes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Caches fetch what they lack themselves.
+    Through,
+    /// Caches answer that they lack a key, and the node asks the origin, listed with this kind.
+    Aside { origin: KindId },
+}
+
+#[derive(Clone, Debug)]
+pub struct Product {
+    pub slo: Span,
+    pub client_timeout: Span,
+    pub billed_value: f64,
+    pub effect: Effect,
+}
+
+/// What running an API call twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    /// Repeats are dropped within the scope, for the window from the first shot that may have run.
+    Deduplicated {
+        scope: DedupScope,
+        window: Span,
+    },
+    NonIdempotent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupScope {
+    All,
+    Zone,
+    Cell,
+}
