--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,10 +26,10 @@
 const START_SPREAD: f64 = 0.3;
 /// The pull's rate η and the width λe^(−f) + β of its neighbourhood.
 const PULL: f64 = 0.05;
-const WIDTH_SHARE: f64 = 0.5;
-const WIDTH_BASE: f64 = 0.2;
+const WIDTH_SHARE: f64 = 0.2;
+const WIDTH_BASE: f64 = 0.15;
 /// The push: α, its memory K (under one, so that it dies out), d, and the weight it drives towards.
-const PUSH: f64 = 0.05;
+const PUSH: f64 = 0.01;
 const PUSH_KEPT: f64 = 0.5;
 const PUSH_STEEPNESS: f64 = 1.0;
 const PUSH_TARGET: f64 = 0.9;
@@ -51,6 +51,8 @@
 /// In-flight limits start so high, and are cut to this share.
 const FIRST_LIMIT: f64 = 4.0;
 const LIMIT_CUT: f64 = 0.7;
+/// A cache that goes on turning shots away is left alone for up to 2 to this power times longer.
+const HELD_DOUBLINGS: u32 = 3;
 const MAX_LIMIT: f64 = 512.0;
 /// An answer slower than this share of its SLO tells of a queue.
 const SLOW_SHARE: f64 = 0.6;
@@ -101,6 +103,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Fulfilled,
+    /// Fulfilled after a fetch from the origin, where caches tell.
+    Fetched,
     /// The cache lacks the key.
     Lacking,
     /// Turned away unseen.
@@ -140,6 +144,8 @@
     limit: f64,
     last_cut: Time,
     last_heard: Time,
+    /// After it turned shots away: until when none goes there, and how many it turned away in a row.
+    held: (Time, u32),
     usage: FadingLevel,
     shots: FadingSum,
     /// Work sent within the fall window.
@@ -183,7 +189,8 @@
 }
 
 struct ProductRecord {
-    /// How long a fulfilled shot takes, in seconds.
+    /// How long a shot takes that a cache fulfilled
+    /// and needed no fetch, in seconds: one slow origin must not make every call look hopeless.
     latency: FadingMean,
     origin_latency: FadingMean,
 }
@@ -340,9 +347,8 @@
         self.note_report(now, cache, load);
         self.judge(now, cache, id, outcome, latency);
         let origin = self.is_origin(cache);
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
+        let fetch_failed = self.fetch_failed(now, id, outcome, latency);
+        let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(shot) = open.shots.get_mut(number.0 as usize) {
             shot.2 = false;
         }
@@ -351,7 +357,7 @@
         }
         match outcome {
             Outcome::Lacking if !origin => open.lacking = true,
-            Outcome::Full | Outcome::Moot | Outcome::Fulfilled => {}
+            Outcome::Full | Outcome::Moot | Outcome::Fulfilled | Outcome::Fetched => {}
             _ if origin => {}
             _ => open.passed.push(cache),
         }
@@ -363,6 +369,9 @@
         }
         if answered {
             self.close(id);
+        } else if fetch_failed {
+            // Another cache would only ask the origin, which is in trouble, once more.
+            self.give_up(id);
         } else if self.open.get(&id).is_some_and(|o| o.shots.iter().all(|s| !s.2)) {
             self.set_waiting(id);
         }
@@ -415,9 +424,7 @@
 
     /// Whether to ask for a watch on the list now.
     pub fn wants_watch(&mut self, now: Time) -> bool {
-        let Some((_, wait)) = self.reask.filter(|(at, _)| *at <= now) else {
-            return false;
-        };
+        let Some((_, wait)) = self.reask.filter(|(at, _)| *at <= now) else { return false };
         // An unanswered call is repeated well before the node counts as not asking.
         self.reask = Some((now + self.settings.must_ask_in.scaled(0.25).max(wait), wait));
         true
@@ -511,10 +518,8 @@
     /// Whether health and the in-flight limit leave room at this cache.
     fn has_room(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let open = &self.open[&id];
-        let Some(c) = self.caches.get(&cache) else {
-            return false;
-        };
-        if open.passed.contains(&cache) {
+        let Some(c) = self.caches.get(&cache) else { return false };
+        if open.passed.contains(&cache) || now < c.held.0 {
             return false;
         }
         if let Some((at, _)) = c.trial {
@@ -529,18 +534,14 @@
     fn warmth(&self, now: Time, cache: CacheId) -> f64 {
         let s = &self.settings;
         let started = self.caches.get(&cache).and_then(|c| c.listing.started);
-        let Some(started) = started.filter(|_| s.warm_after > Span::ZERO) else {
-            return 1.0;
-        };
+        let Some(started) = started.filter(|_| s.warm_after > Span::ZERO) else { return 1.0 };
         let age = (now - started).as_secs_f64() / s.warm_after.as_secs_f64();
         s.cold_from + (1.0 - s.cold_from) * age.min(1.0)
     }
 
     /// The gate of the rules that every shot passes.
     fn may_send(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
-        let (Some(open), Some(c)) = (self.open.get(&id), self.caches.get(&cache)) else {
-            return false;
-        };
+        let (Some(open), Some(c)) = (self.open.get(&id), self.caches.get(&cache)) else { return false };
         // Rule 1: nothing for a call that has ended.
         if now >= open.end || open.shots.len() >= self.settings.max_shots as usize {
             return false;
@@ -656,9 +657,7 @@
 
     /// Lets the calls go on that waited for this call's fetch.
     fn release_joined(&mut self, id: ApiCallId) {
-        let Some(key) = self.open.get(&id).map(|o| o.call.key) else {
-            return;
-        };
+        let Some(key) = self.open.get(&id).map(|o| o.call.key) else { return };
         if self.fetching.get(&key) != Some(&id) {
             return;
         }
@@ -672,9 +671,7 @@
     }
 
     fn set_waiting(&mut self, id: ApiCallId) {
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&id) else { return };
         open.stage = Stage::Waiting;
         self.ready.insert(open.rank, id);
     }
@@ -827,9 +824,7 @@
     }
 
     fn start_weights(&self, key: Key) -> [Option<(CacheId, f64)>; CANDIDATES] {
-        let Some(slot) = self.table.get((hash_of(key) % SLOTS) as usize) else {
-            return [None; CANDIDATES];
-        };
+        let Some(slot) = self.table.get((hash_of(key) % SLOTS) as usize) else { return [None; CANDIDATES] };
         let mut weights = [None; CANDIDATES];
         for (place, cache) in slot.iter().enumerate() {
             let spread = START_SPREAD * unit(hash_of((key, place)));
@@ -857,16 +852,18 @@
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
     fn judge(&mut self, now: Time, cache: CacheId, id: ApiCallId, outcome: Outcome, latency: Span) {
         let origin = self.is_origin(cache);
-        let Some(c) = self.caches.get_mut(&cache) else {
-            return;
-        };
+        let chance = self.chance();
+        let fetch_failed = self.fetch_failed(now, id, outcome, latency);
+        let Some(c) = self.caches.get_mut(&cache) else { return };
         c.in_flight = c.in_flight.saturating_sub(1);
         c.usage.step_by(now, -1.0);
         if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
             c.last_heard = now;
         }
         let healthy = match outcome {
-            Outcome::Fulfilled | Outcome::Lacking | Outcome::Full => Some(true),
+            // The origin's trouble bars no cache: its hits are needed then more than ever.
+            Outcome::Errored if fetch_failed => None,
+            Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => Some(true),
             Outcome::Moot => None,
             // A recalled shot met silence, or its client left.
             _ => Some(false),
@@ -890,6 +887,15 @@
         }
         let Some(open) = self.open.get(&id) else { return };
         let product = open.call.product.0 as usize;
+        // A crowded cache that turns shots away at once would be sent ever more of them, and spends its
+        // strength on that: it is left alone for about as long as it takes to serve one, growing.
+        if outcome == Outcome::Full {
+            let growth = f64::from(1u32 << c.held.1.min(HELD_DOUBLINGS));
+            let pause = self.products[product].latency.read(now) * growth * (0.5 + chance);
+            c.held = (now + Span::from_secs_f64(pause), c.held.1 + 1);
+        } else if healthy == Some(true) {
+            c.held = (now, 0);
+        }
         let slo = self.settings.products[product].slo;
         let crowded = match outcome {
             Outcome::Full | Outcome::TimedOut | Outcome::Recalled | Outcome::Unreachable => true,
@@ -910,11 +916,17 @@
         }
     }
 
+    /// Whether an error tells of a fetch behind the cache: it took longer than hits do.
+    fn fetch_failed(&self, now: Time, id: ApiCallId, outcome: Outcome, latency: Span) -> bool {
+        let Some(open) = self.open.get(&id) else { return false };
+        let hit = self.products[open.call.product.0 as usize].latency.read(now);
+        let through = self.settings.mode == Mode::Through;
+        through && outcome == Outcome::Errored && latency.as_secs_f64() > hit
+    }
+
     fn note_report(&mut self, now: Time, cache: CacheId, load: &[f32]) {
         let column = self.settings.utilisation_column;
-        let Some(&value) = column.and_then(|n| load.get(n)) else {
-            return;
-        };
+        let Some(&value) = column.and_then(|n| load.get(n)) else { return };
         if let Some(c) = self.caches.get_mut(&cache).filter(|_| value.is_finite()) {
             c.report = Some((now, f64::from(value).clamp(0.0, 1e3)));
         }
@@ -922,9 +934,7 @@
 
     /// Takes one call from its tenant's quota, of which each node counts on an even part.
     fn within_quota(&mut self, now: Time, tenant: Option<TenantId>) -> bool {
-        let Some(n) = tenant.map(|t| t.0 as usize).filter(|n| *n < self.quotas.len()) else {
-            return true;
-        };
+        let Some(n) = tenant.map(|t| t.0 as usize).filter(|n| *n < self.quotas.len()) else { return true };
         let rate = self.settings.quotas_per_s[n] / self.settings.nodes;
         let (left, at) = &mut self.quotas[n];
         *left = (*left + (now - *at).as_secs_f64() * rate).min((rate * QUOTA_MEMORY_S).max(1.0));
@@ -967,6 +977,7 @@
             limit: FIRST_LIMIT,
             last_cut: now,
             last_heard: now,
+            held: (now, 0),
             usage: FadingLevel::new(USAGE_MEMORY, now),
             shots: FadingSum::new(USAGE_MEMORY, now),
             burst: FadingSum::new(fall_window.max(LEARNING_STEP), now),
