Likely fetches of through caches get an in-flight limit of their own

Cause on north: a third of all shots ended in failed fetches; caches kept asking the slow origin for what nobody would still wait for.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -134,15 +134,20 @@
     Errored,
 }
 
+/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share.
+struct Limit {
+    in_flight: u32,
+    most: f64,
+    last_cut: Time,
+}
+
 struct Cache {
     listing: Listing,
     /// Failures are `false`.
     outcomes: VecDeque<bool>,
     /// While it fails: when one shot may try it again, and the wait after that.
     trial: Option<(Time, Span)>,
-    in_flight: u32,
-    limit: f64,
-    last_cut: Time,
+    limit: Limit,
     last_heard: Time,
     /// After it turned shots away: until when none goes there, and how many it turned away in a row.
     held: (Time, u32),
@@ -160,6 +165,8 @@
     slots: [Option<(CacheId, f64)>; CANDIDATES],
     asked: FadingSum,
     last_asked: Time,
+    /// The cache that answered last, and so holds it unless it was voided or dropped.
+    held_by: Option<CacheId>,
 }
 
 /// Where an open API call stands.
@@ -171,6 +178,18 @@
     Out,
 }
 
+/// A shot that was sent.
+#[derive(Clone, Copy)]
+struct Sent {
+    product: ProductId,
+    key: Key,
+    cache: CacheId,
+    at: Time,
+    out: bool,
+    /// Whether it was expected to make the cache fetch.
+    fetch: bool,
+}
+
 struct Open {
     call: ApiCall,
     stage: Stage,
@@ -179,8 +198,7 @@
     end: Time,
     patience_end: Time,
     over_quota: bool,
-    /// Every shot: where, when, and whether it is still out.
-    shots: Vec<(CacheId, Time, bool)>,
+    shots: Vec<Sent>,
     /// The first shot that may have run.
     may_have_run: Option<usize>,
     /// Caches that lacked the key or did not serve it.
@@ -213,6 +231,10 @@
     cursor: Option<(u64, u64)>,
     alarms: BTreeSet<(Time, ApiCallId)>,
     fetching: HashMap<Key, ApiCallId>,
+    /// Every shot whose end was not heard yet, also of calls that have ended.
+    out: HashMap<(ApiCallId, ShotNumber), Sent>,
+    /// Fetches that through caches are held to make for this node's calls.
+    fetches: Limit,
     answers: VecDeque<(ApiCallId, Answer)>,
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
@@ -262,6 +284,8 @@
             cursor: None,
             alarms: BTreeSet::new(),
             fetching: HashMap::new(),
+            out: HashMap::new(),
+            fetches: Limit::new(now),
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
@@ -345,12 +369,13 @@
     ) {
         self.heard(now);
         self.note_report(now, cache, load);
-        self.judge(now, cache, id, outcome, latency);
+        let Some(sent) = self.out.remove(&(id, number)).filter(|s| s.cache == cache) else { return };
+        self.judge(now, &sent, outcome, latency);
         let origin = self.is_origin(cache);
-        let fetch_failed = self.fetch_failed(now, id, outcome, latency);
+        let fetch_failed = self.fetch_failed(now, &sent, outcome, latency);
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(shot) = open.shots.get_mut(number.0 as usize) {
-            shot.2 = false;
+            shot.out = false;
         }
         if !outcome.proves_it_never_ran() && open.may_have_run.is_none_or(|n| n > number.0 as usize) {
             open.may_have_run = Some(number.0 as usize);
@@ -372,7 +397,7 @@
         } else if fetch_failed {
             // Another cache would only ask the origin, which is in trouble, once more.
             self.give_up(id);
-        } else if self.open.get(&id).is_some_and(|o| o.shots.iter().all(|s| !s.2)) {
+        } else if self.open.get(&id).is_some_and(|o| o.shots.iter().all(|s| !s.out)) {
             self.set_waiting(id);
         }
     }
@@ -524,10 +549,17 @@
         }
         if let Some((at, _)) = c.trial {
             // Only what may run again is risked on a cache that fails.
-            return at <= now && c.in_flight == 0 && self.effect(open) == Effect::Idempotent;
+            return at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
         }
         let share = if open.over_quota { OVER_QUOTA_SHARE } else { 1.0 };
-        (c.in_flight as f64) < (c.limit * share).max(1.0)
+        let fetch_fits = self.fetches.has_room(share) || !self.likely_fetch(&open.call, cache);
+        fetch_fits && c.limit.has_room(share)
+    }
+
+    /// Whether a through cache will have to ask the origin, as far as this node can tell.
+    fn likely_fetch(&self, call: &ApiCall, cache: CacheId) -> bool {
+        let held = || self.keys.get(&call.key).is_some_and(|k| k.held_by == Some(cache));
+        self.settings.mode == Mode::Through && (call.write || !held())
     }
 
     /// The present share of its capacity that a cache has at least.
@@ -551,14 +583,14 @@
             return false;
         }
         // Rule 2: no effect twice, and no two shots out where the site forbids it.
-        let out = open.shots.iter().any(|s| s.2);
+        let out = open.shots.iter().any(|s| s.out);
         if out && !self.settings.second_copies {
             return false;
         }
-        let first_out = open.shots.iter().position(|s| s.2);
+        let first_out = open.shots.iter().position(|s| s.out);
         let risky = [open.may_have_run, first_out].into_iter().flatten().min();
         if let Some(first) = risky {
-            let (sent_to, sent_at, _) = open.shots[first];
+            let Sent { cache: sent_to, at: sent_at, .. } = open.shots[first];
             let again = match self.effect(open) {
                 Effect::Idempotent => true,
                 Effect::NonIdempotent => false,
@@ -599,18 +631,22 @@
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let origin = self.is_origin(cache);
         let work = self.work_of(now, &self.open[&id].call);
+        let fetch = self.likely_fetch(&self.open[&id].call, cache);
         let open = self.open.get_mut(&id).expect("placed calls are open");
         let slo = self.settings.products[open.call.product.0 as usize].slo;
         self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
         let end = open.end;
-        open.shots.push((cache, now, true));
+        let sent = Sent { product: open.call.product, key: open.call.key, cache, at: now, out: true, fetch };
+        self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
+        open.shots.push(sent);
         open.stage = Stage::Out;
         self.ready.remove(&open.rank);
         if origin && !open.call.write {
             self.fetching.insert(open.call.key, id);
         }
         let c = self.caches.get_mut(&cache).expect("candidates are listed");
-        c.in_flight += 1;
+        c.limit.in_flight += 1;
+        self.fetches.in_flight += u32::from(fetch);
         c.usage.step_by(now, 1.0);
         c.shots.add(now, 1.0);
         c.burst.add(now, work);
@@ -629,7 +665,7 @@
         let slo = self.settings.products[open.call.product.0 as usize].slo;
         let harmless = match self.effect(open) {
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
-            _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.2),
+            _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.out),
         };
         let come_back = slo.scaled(0.5).min(self.settings.max_come_back);
         let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
@@ -640,7 +676,7 @@
     fn answer(&mut self, id: ApiCallId, answer: Answer) {
         let Some(open) = self.open.get(&id) else { return };
         if self.settings.may_recall {
-            let out = open.shots.iter().enumerate().filter(|(_, s)| s.2);
+            let out = open.shots.iter().enumerate().filter(|(_, s)| s.out);
             self.recalls.extend(out.map(|(n, _)| (id, ShotNumber(n as u8))));
         }
         self.close(id);
@@ -692,9 +728,9 @@
                 // A restart under the same id begins cold and with a clean slate.
                 Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
                 Some(cache) => {
-                    let in_flight = cache.in_flight;
+                    let in_flight = cache.limit.in_flight;
                     *cache = Cache::new(*listing, self.settings.fall_window, now);
-                    cache.in_flight = in_flight;
+                    cache.limit.in_flight = in_flight;
                     cache.usage.step_by(now, in_flight as f64);
                 }
                 None => {
@@ -704,7 +740,7 @@
             }
         }
         self.caches
-            .retain(|_, c| c.listing.ready || c.in_flight > 0 || c.listing.kind_is(self.settings.mode));
+            .retain(|_, c| c.listing.ready || c.limit.in_flight > 0 || c.listing.kind_is(self.settings.mode));
         self.rebuild_table();
     }
 
@@ -743,7 +779,7 @@
     fn recall_silent(&mut self, now: Time, id: ApiCallId) {
         let open = &self.open[&id];
         let last = open.shots.len() - 1;
-        let (cache, sent, out) = open.shots[last];
+        let Sent { cache, at: sent, out, .. } = open.shots[last];
         let silent = self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
         let idempotent = self.effect(open) == Effect::Idempotent && !self.is_origin(cache);
         if out && silent && idempotent && self.settings.may_recall && now < open.slo_end {
@@ -801,6 +837,7 @@
             slots: fresh,
             asked: FadingSum::new(memory, now),
             last_asked: now,
+            held_by: None,
         });
         if weights.table != version {
             let old = weights.slots;
@@ -850,76 +887,91 @@
     }
 
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
-    fn judge(&mut self, now: Time, cache: CacheId, id: ApiCallId, outcome: Outcome, latency: Span) {
-        let origin = self.is_origin(cache);
+    fn judge(&mut self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) {
+        let origin = self.is_origin(sent.cache);
         let chance = self.chance();
-        let fetch_failed = self.fetch_failed(now, id, outcome, latency);
-        let Some(c) = self.caches.get_mut(&cache) else { return };
-        c.in_flight = c.in_flight.saturating_sub(1);
+        // Every answer of the origin's own is a fetch.
+        let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
+        let fetch_failed = self.fetch_failed(now, sent, outcome, latency);
+        let slo = self.settings.products[sent.product.0 as usize].slo;
+        let slow = latency > slo.scaled(SLOW_SHARE);
+        if sent.fetch {
+            let crowded = match outcome {
+                Outcome::Fulfilled | Outcome::Fetched => Some(slow),
+                Outcome::Errored => Some(true),
+                Outcome::TimedOut => Some(slow),
+                _ => None,
+            };
+            self.fetches.learn(now, latency, crowded);
+        }
+        if let Some(weights) = self.keys.get_mut(&sent.key) {
+            match outcome {
+                Outcome::Fulfilled | Outcome::Fetched if !origin => weights.held_by = Some(sent.cache),
+                Outcome::Errored | Outcome::Lacking | Outcome::TimedOut => weights.held_by = None,
+                _ => {}
+            }
+        }
+        let record = &mut self.products[sent.product.0 as usize];
+        // What came too late does not count: it would make every call look hopeless, and so stay unlearnt.
+        if outcome == Outcome::Fulfilled && latency <= slo {
+            let mean = if origin { &mut record.origin_latency } else { &mut record.latency };
+            mean.add(now, latency.as_secs_f64());
+        }
+        let typical = record.latency.read(now);
+        let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
         if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
             c.last_heard = now;
         }
+        let crowded = match outcome {
+            Outcome::Full | Outcome::Unreachable => Some(true),
+            Outcome::TimedOut | Outcome::Recalled if !sent.fetch => Some(slow),
+            Outcome::Fulfilled => Some(slow),
+            // That a key is lacking is soon said, crowd or none.
+            Outcome::Lacking if slow => Some(true),
+            _ => None,
+        };
+        c.limit.learn(now, latency, crowded);
         let healthy = match outcome {
             // The origin's trouble bars no cache: its hits are needed then more than ever.
-            Outcome::Errored if fetch_failed => None,
-            Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => Some(true),
-            Outcome::Moot => None,
+            Outcome::Errored if fetch_failed => return,
+            Outcome::TimedOut if sent.fetch => return,
+            // Nor does a shot whose client had little time left.
+            Outcome::TimedOut | Outcome::Recalled if latency < slo.scaled(SILENCE_SHARE) => return,
+            Outcome::Moot => return,
+            Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => true,
             // A recalled shot met silence, or its client left.
-            _ => Some(false),
+            _ => false,
         };
-        if let Some(healthy) = healthy {
-            c.outcomes.push_back(healthy);
-            if c.outcomes.len() > OUTCOMES_KEPT {
-                c.outcomes.pop_front();
-            }
-            let good = c.outcomes.iter().filter(|o| **o).count();
-            let failing = c.outcomes.len() >= OUTCOMES_KEPT.min(3) && good < SUCCESSES_NEEDED;
-            match c.trial {
-                _ if origin => {}
-                Some(_) if healthy => {
-                    c.trial = None;
-                    c.outcomes.clear();
-                }
-                None if failing => c.trial = Some((now + FIRST_TRIAL, FIRST_TRIAL)),
-                _ => {}
-            }
-        }
-        let Some(open) = self.open.get(&id) else { return };
-        let product = open.call.product.0 as usize;
         // A crowded cache that turns shots away at once would be sent ever more of them, and spends its
         // strength on that: it is left alone for about as long as it takes to serve one, growing.
         if outcome == Outcome::Full {
             let growth = f64::from(1u32 << c.held.1.min(HELD_DOUBLINGS));
-            let pause = self.products[product].latency.read(now) * growth * (0.5 + chance);
+            let pause = typical * growth * (0.5 + chance);
             c.held = (now + Span::from_secs_f64(pause), c.held.1 + 1);
-        } else if healthy == Some(true) {
+        } else if healthy {
             c.held = (now, 0);
         }
-        let slo = self.settings.products[product].slo;
-        let crowded = match outcome {
-            Outcome::Full | Outcome::TimedOut | Outcome::Recalled | Outcome::Unreachable => true,
-            Outcome::Fulfilled | Outcome::Lacking => latency > slo.scaled(SLOW_SHARE),
-            _ => false,
-        };
-        // One cut for one crowd: only shots sent after the last cut tell of the limit it set.
-        if crowded && now - c.last_cut >= latency {
-            c.limit = (c.limit * LIMIT_CUT).max(1.0);
-            c.last_cut = now;
-        } else if !crowded && outcome == Outcome::Fulfilled && c.in_flight as f64 + 1.0 >= c.limit * 0.5 {
-            c.limit = (c.limit + 1.0 / c.limit).min(MAX_LIMIT);
-        }
-        if outcome == Outcome::Fulfilled {
-            let record = &mut self.products[product];
-            let mean = if origin { &mut record.origin_latency } else { &mut record.latency };
-            mean.add(now, latency.as_secs_f64());
+        c.outcomes.push_back(healthy);
+        if c.outcomes.len() > OUTCOMES_KEPT {
+            c.outcomes.pop_front();
+        }
+        let good = c.outcomes.iter().filter(|o| **o).count();
+        let failing = c.outcomes.len() >= OUTCOMES_KEPT.min(3) && good < SUCCESSES_NEEDED;
+        match c.trial {
+            _ if origin => {}
+            Some(_) if healthy => {
+                c.trial = None;
+                c.outcomes.clear();
+            }
+            None if failing => c.trial = Some((now + FIRST_TRIAL, FIRST_TRIAL)),
+            _ => {}
         }
     }
 
     /// Whether an error tells of a fetch behind the cache: it took longer than hits do.
-    fn fetch_failed(&self, now: Time, id: ApiCallId, outcome: Outcome, latency: Span) -> bool {
-        let Some(open) = self.open.get(&id) else { return false };
-        let hit = self.products[open.call.product.0 as usize].latency.read(now);
+    fn fetch_failed(&self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) -> bool {
+        let hit = self.products[sent.product.0 as usize].latency.read(now);
         let through = self.settings.mode == Mode::Through;
         through && outcome == Outcome::Errored && latency.as_secs_f64() > hit
     }
@@ -967,15 +1019,38 @@
     }
 }
 
+impl Limit {
+    fn new(now: Time) -> Limit {
+        Limit { in_flight: 0, most: FIRST_LIMIT, last_cut: now }
+    }
+
+    fn has_room(&self, share: f64) -> bool {
+        f64::from(self.in_flight) < (self.most * share).max(1.0)
+    }
+
+    /// One of those in flight ended after `latency`, having met a crowd, none, or neither.
+    fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>) {
+        let filled = f64::from(self.in_flight) >= self.most * 0.5;
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match crowded {
+            // One cut for one crowd: only shots sent after the last cut tell of the limit it set.
+            Some(true) if now - self.last_cut >= latency => {
+                self.most = (self.most * LIMIT_CUT).max(1.0);
+                self.last_cut = now;
+            }
+            Some(false) if filled => self.most = (self.most + 1.0 / self.most).min(MAX_LIMIT),
+            _ => {}
+        }
+    }
+}
+
 impl Cache {
     fn new(listing: Listing, fall_window: Span, now: Time) -> Cache {
         Cache {
             listing,
             outcomes: VecDeque::new(),
             trial: None,
-            in_flight: 0,
-            limit: FIRST_LIMIT,
-            last_cut: now,
+            limit: Limit::new(now),
             last_heard: now,
             held: (now, 0),
             usage: FadingLevel::new(USAGE_MEMORY, now),
