Cold budget follows what warm size carried; plain types move beside the module

A cold cache's budget is now its part, by warmth and size, of the slow mean of what the caches carried, with room for one call in a while: with no warm cache left the old budget let one call through and then none. A call that may have run and must not run twice is answered at once instead of waiting for its SLO.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use granitelb::brain::{Answer, ApiCall, Brain, Listing, Outcome};
+use granitelb::brain::Brain;
+use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
 use granitelb::ids::{ApiCallId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
 use granitelb::units::{Span, Time};
 
@@ -104,11 +105,14 @@
                         record.u8(19)
                     )));
                 };
-                let number = ShotNumber(record.u8(12));
-                let took = Span(u64::from(record.u32(20)));
-                let answered = record.u8(24) != 0;
-                let (id, cache) = (ApiCallId(record.u64(4)), record.cache(13));
-                brain.shot_ended(now, id, number, cache, outcome, took, answered, &record.load(26));
+                let end = ShotEnd {
+                    number: ShotNumber(record.u8(12)),
+                    cache: record.cache(13),
+                    outcome,
+                    latency: Span(u64::from(record.u32(20))),
+                    answered: record.u8(24) != 0,
+                };
+                brain.shot_ended(now, ApiCallId(record.u64(4)), &end, &record.load(26));
             }
             9 => {
                 let flags = record.u8(38);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,9 +10,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Bound::{Excluded, Unbounded};
 
+use crate::calls::{Answer, ApiCall, Listing, Outcome, Shot, ShotEnd};
 use crate::decay::{FadingLevel, FadingMean, FadingSum};
-use crate::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
-use crate::settings::{DedupScope, Effect, Mode, Settings};
+use crate::ids::{ApiCallId, CacheId, Key, ProductId, ShotNumber, TenantId};
+use crate::settings::{DedupScope, Effect, Mode, Product, Settings};
 use crate::units::{Span, Time};
 
 // The mechanism. Its source leaves these figures open.
@@ -72,68 +73,6 @@
 /// A refused or unanswered watch is asked for again after this, growing, with jitter.
 const FIRST_REASK: Span = Span::from_millis(500);
 
-/// One line of the list of caches.
-#[derive(Clone, Copy, Debug)]
-pub struct Listing {
-    pub cache: CacheId,
-    pub kind: KindId,
-    pub size: f64,
-    pub zone: ZoneId,
-    pub cell: CellId,
-    /// Whether new work may be sent: neither draining nor gone.
-    pub ready: bool,
-    /// When it last started, unless long ago.
-    pub started: Option<Time>,
-}
-
-/// What a client asks for.
-#[derive(Clone, Copy, Debug)]
-pub struct ApiCall {
-    pub product: ProductId,
-    pub tenant: Option<TenantId>,
-    pub key: Key,
-    /// How long until the client gives up on this try.
-    pub budget: Span,
-    /// The estimated work, where known.
-    pub work: Option<Span>,
-    pub write: bool,
-}
-
-/// How a shot ended, as far as that decides what follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Fulfilled,
-    /// Fulfilled after a fetch from the origin, where caches tell.
-    Fetched,
-    /// The cache lacks the key.
-    Lacking,
-    /// Turned away unseen.
-    Full,
-    /// No connection.
-    Unreachable,
-    /// Never sent.
-    Moot,
-    TimedOut,
-    Errored,
-    Reset,
-    Recalled,
-}
-
-/// A shot to be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shot {
-    pub api_call: ApiCallId,
-    pub cache: CacheId,
-    pub give_up_after: Span,
-}
-
-/// A final answer that the node gives itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    RateLimited { come_back: Span },
-    Errored,
-}
-
 /// A limit on what is in flight: grows by one each time it was filled and served, cut by a share.
 struct Limit {
     in_flight: u32,
@@ -143,6 +82,7 @@
 
 struct Cache {
     listing: Listing,
+    is_origin: bool,
     /// Failures are `false`.
     outcomes: VecDeque<bool>,
     /// While it fails: when one shot may try it again, and the wait after that.
@@ -169,15 +109,6 @@
     held_by: Option<CacheId>,
 }
 
-/// Where an open API call stands.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Waiting,
-    /// Waits for this node's own fetch of the same key.
-    Joined,
-    Out,
-}
-
 /// A shot that was sent.
 #[derive(Clone, Copy)]
 struct Sent {
@@ -192,7 +123,8 @@
 
 struct Open {
     call: ApiCall,
-    stage: Stage,
+    /// Whether it waits for this node's own fetch of the same key.
+    joined: bool,
     rank: (u64, u64),
     slo_end: Time,
     end: Time,
@@ -239,6 +171,8 @@
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
     reask: Option<(Time, Span)>,
+    /// What each unit of warm size got within the fall window, on average over the time of a warm-up.
+    carried: FadingMean,
     now: Time,
 }
 
@@ -256,12 +190,13 @@
 /// Interface.
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
-        let first_latency = |p: &crate::settings::Product| p.slo.as_secs_f64() / 8.0;
+        let first_latency = |p: &Product| p.slo.as_secs_f64() / 8.0;
         let products = settings.products.iter();
         let products = products.map(|p| ProductRecord {
             latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
             origin_latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
         });
+        let carried = FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0);
         Brain {
             products: products.collect(),
             quotas: settings
@@ -289,6 +224,7 @@
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
+            carried,
             now,
         }
     }
@@ -331,7 +267,7 @@
         let patience = if over_quota { Span::ZERO } else { slo.scaled(PATIENCE) };
         let open = Open {
             call,
-            stage: Stage::Waiting,
+            joined: false,
             rank,
             slo_end: now + slo,
             end: now + call.budget,
@@ -354,20 +290,10 @@
         self.close(id);
     }
 
-    /// One shot's end; `answered` when the call is finished with it, `load` the report that came along.
-    #[allow(clippy::too_many_arguments)]
-    pub fn shot_ended(
-        &mut self,
-        now: Time,
-        id: ApiCallId,
-        number: ShotNumber,
-        cache: CacheId,
-        outcome: Outcome,
-        latency: Span,
-        answered: bool,
-        load: &[f32],
-    ) {
+    /// A shot's end, with the load report that came along.
+    pub fn shot_ended(&mut self, now: Time, id: ApiCallId, end: &ShotEnd, load: &[f32]) {
         self.heard(now);
+        let ShotEnd { number, cache, outcome, latency, answered } = *end;
         self.note_report(now, cache, load);
         let Some(sent) = self.out.remove(&(id, number)).filter(|s| s.cache == cache) else { return };
         self.judge(now, &sent, outcome, latency);
@@ -380,13 +306,8 @@
         if !outcome.proves_it_never_ran() && open.may_have_run.is_none_or(|n| n > number.0 as usize) {
             open.may_have_run = Some(number.0 as usize);
         }
-        match outcome {
-            Outcome::Lacking if !origin => open.lacking = true,
-            Outcome::Full | Outcome::Moot | Outcome::Fulfilled | Outcome::Fetched => {}
-            _ if origin => {}
-            _ => open.passed.push(cache),
-        }
-        if outcome == Outcome::Lacking && !origin {
+        open.lacking |= outcome == Outcome::Lacking && !origin;
+        if !origin && !matches!(outcome, Outcome::Full | Outcome::Moot) {
             open.passed.push(cache);
         }
         if origin && !open.call.write {
@@ -437,10 +358,9 @@
         if !self.settings.may_check || !self.settings.reports_need_checks {
             return None;
         }
-        let mode = self.settings.mode;
         let due = |c: &&mut Cache| {
             let old = c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
-            old && c.listing.ready && !c.listing.kind_is(mode)
+            old && c.serves()
         };
         let cache = self.caches.values_mut().find(due)?;
         cache.checked = Some(now);
@@ -483,7 +403,9 @@
         let typical = if reads_here { &product.latency } else { &product.origin_latency };
         let hopeless = now + Span::from_secs_f64(typical.read(now) * 0.5) > open.slo_end;
         let out_of_patience = now >= open.patience_end && open.shots.is_empty() && !open.over_quota;
-        if hopeless || open.shots.len() >= self.settings.max_shots as usize {
+        // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
+        let barred = !self.caches.values().any(|c| self.may_repeat(now, open, &c.listing));
+        if hopeless || barred || open.shots.len() >= self.settings.max_shots as usize {
             self.give_up(id);
             return None;
         }
@@ -491,7 +413,7 @@
         let reading = !open.call.write;
         if reading && self.fetching.get(&key).is_some_and(|f| *f != id) {
             let (rank, open) = (open.rank, self.open.get_mut(&id)?);
-            open.stage = Stage::Joined;
+            open.joined = true;
             self.ready.remove(&rank);
             // A joined call whose fetch drags on is given up at its SLO.
             self.alarms.insert((open.slo_end, id));
@@ -587,59 +509,65 @@
         if out && !self.settings.second_copies {
             return false;
         }
+        if !self.may_repeat(now, open, &c.listing) {
+            return false;
+        }
+        // Rule 4: the node's part of what a cold cache stands.
+        let work = self.work_of(now, &open.call);
+        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, cache, work)
+    }
+
+    /// Whether an effect is safe from happening twice if the call goes to this cache too.
+    fn may_repeat(&self, now: Time, open: &Open, listing: &Listing) -> bool {
         let first_out = open.shots.iter().position(|s| s.out);
-        let risky = [open.may_have_run, first_out].into_iter().flatten().min();
-        if let Some(first) = risky {
-            let Sent { cache: sent_to, at: sent_at, .. } = open.shots[first];
-            let again = match self.effect(open) {
-                Effect::Idempotent => true,
-                Effect::NonIdempotent => false,
-                Effect::Deduplicated { scope, window } => {
-                    let old = self.caches.get(&sent_to).map(|c| c.listing);
-                    let same = match scope {
-                        DedupScope::All => true,
-                        DedupScope::Zone => old.is_some_and(|l| l.zone == c.listing.zone),
-                        DedupScope::Cell => old.is_some_and(|l| l.cell == c.listing.cell),
-                    };
-                    // Half the window, since the shot still has to arrive and wait its turn there.
-                    same && now < sent_at + window.scaled(0.5)
-                }
-            };
-            if !again {
-                return false;
+        let Some(first) = [open.may_have_run, first_out].into_iter().flatten().min() else { return true };
+        let first = open.shots[first];
+        match self.effect(open) {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Deduplicated { scope, window } => {
+                let old = self.caches.get(&first.cache).map(|c| c.listing);
+                let same = match scope {
+                    DedupScope::All => true,
+                    DedupScope::Zone => old.is_some_and(|l| l.zone == listing.zone),
+                    DedupScope::Cell => old.is_some_and(|l| l.cell == listing.cell),
+                };
+                // Half the window, since the shot still has to arrive and wait its turn there.
+                same && now < first.at + window.scaled(0.5)
             }
         }
-        // Rule 4: the node's part of what a cold cache stands.
-        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, cache)
     }
 
-    /// The work that this node may have sent to a cold cache within the fall window: what a warm cache
-    /// of its size gets from this node, times its warmth. All nodes together stay near the cache's part
-    /// of the load, and so far under the multiple of its capacity. One call is always within it.
-    fn cold_budget(&self, now: Time, cache: CacheId) -> f64 {
-        let warm = self.caches.values().filter(|c| {
-            let listing = &c.listing;
-            listing.ready && !listing.kind_is(self.settings.mode) && self.warmth(now, listing.cache) >= 1.0
+    /// The work that this node may have sent to a cold cache within the fall window: its part, by warmth
+    /// and size, of what the caches got from this node of late. All nodes together stay near the cache's
+    /// part of the load, and so far under the multiple of its capacity. One call in a while always fits,
+    /// or a fleet that is cold throughout would never be found out to work.
+    fn cold_budget(&self, now: Time, cache: CacheId, work: f64) -> f64 {
+        let size = self.caches.get(&cache).map_or(0.0, |c| self.size_of(&c.listing));
+        (self.carried.read(now) * size * self.warmth(now, cache)).max(work * 0.5)
+    }
+
+    /// What each unit of warm size got from this node within the fall window, as the caches now stand.
+    fn carried_now(&self, now: Time) -> f64 {
+        let serving = self.caches.values().filter(|c| c.serves());
+        let (work, size) = serving.fold((0.0, 0.0), |(work, size), c| {
+            let warm_size = self.size_of(&c.listing) * self.warmth(now, c.listing.cache);
+            (work + c.burst.read(now), size + warm_size)
         });
-        let (work, size) =
-            warm.fold((0.0, 0.0), |(w, s), c| (w + c.burst.read(now), s + self.size_of(&c.listing)));
-        let size_here = self.caches.get(&cache).map_or(0.0, |c| self.size_of(&c.listing));
-        let share = if size > 0.0 { work / size * size_here } else { 0.0 };
-        (share * self.warmth(now, cache)).max(f64::MIN_POSITIVE)
+        if size > 0.0 { work / size } else { 0.0 }
     }
 
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let origin = self.is_origin(cache);
         let work = self.work_of(now, &self.open[&id].call);
         let fetch = self.likely_fetch(&self.open[&id].call, cache);
+        let slo = self.product(self.open[&id].call.product).slo;
         let open = self.open.get_mut(&id).expect("placed calls are open");
-        let slo = self.settings.products[open.call.product.0 as usize].slo;
         self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
         let end = open.end;
         let sent = Sent { product: open.call.product, key: open.call.key, cache, at: now, out: true, fetch };
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
-        open.stage = Stage::Out;
         self.ready.remove(&open.rank);
         if origin && !open.call.write {
             self.fetching.insert(open.call.key, id);
@@ -662,7 +590,7 @@
     /// Ends a call at once: rate-limited where that promise holds, else errored.
     fn give_up(&mut self, id: ApiCallId) {
         let Some(open) = self.open.get(&id) else { return };
-        let slo = self.settings.products[open.call.product.0 as usize].slo;
+        let slo = self.product(open.call.product).slo;
         let harmless = match self.effect(open) {
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
             _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.out),
@@ -698,8 +626,7 @@
             return;
         }
         self.fetching.remove(&key);
-        let mut joined: Vec<_> =
-            self.open.iter().filter(|(_, o)| o.stage == Stage::Joined && o.call.key == key).collect();
+        let mut joined: Vec<_> = self.open.iter().filter(|(_, o)| o.joined && o.call.key == key).collect();
         joined.sort_by_key(|(_, o)| o.rank);
         for id in joined.into_iter().map(|(id, _)| *id).collect::<Vec<_>>() {
             self.set_waiting(id);
@@ -708,7 +635,7 @@
 
     fn set_waiting(&mut self, id: ApiCallId) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.stage = Stage::Waiting;
+        open.joined = false;
         self.ready.insert(open.rank, id);
     }
 }
@@ -729,18 +656,17 @@
                 Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
                 Some(cache) => {
                     let in_flight = cache.limit.in_flight;
-                    *cache = Cache::new(*listing, self.settings.fall_window, now);
+                    *cache = Cache::new(*listing, &self.settings, now);
                     cache.limit.in_flight = in_flight;
                     cache.usage.step_by(now, in_flight as f64);
                 }
                 None => {
-                    let cache = Cache::new(*listing, self.settings.fall_window, now);
+                    let cache = Cache::new(*listing, &self.settings, now);
                     self.caches.insert(listing.cache, cache);
                 }
             }
         }
-        self.caches
-            .retain(|_, c| c.listing.ready || c.limit.in_flight > 0 || c.listing.kind_is(self.settings.mode));
+        self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0 || c.is_origin);
         self.rebuild_table();
     }
 
@@ -760,7 +686,7 @@
             let Some(open) = self.open.get(&id) else { continue };
             if at >= open.end {
                 self.answer(id, Answer::Errored);
-            } else if open.stage == Stage::Out {
+            } else if open.shots.last().is_some_and(|s| s.out) {
                 self.recall_silent(now, id);
             } else if at >= open.slo_end {
                 self.give_up(id);
@@ -789,16 +715,16 @@
 
     /// One learning step: the push on every stored weight, by its cache's usage against the mean.
     fn learn(&mut self, now: Time) {
-        let mode = self.settings.mode;
-        let settings = &self.settings;
-        let known = self.caches.values().filter(|c| c.listing.ready && !c.listing.kind_is(mode));
-        let usages: Vec<(CacheId, Option<f64>)> = known
+        self.carried.add(now, self.carried_now(now));
+        let usages: Vec<(CacheId, Option<f64>)> = self
+            .caches
+            .values()
+            .filter(|c| c.serves())
             .map(|c| {
-                let size = if settings.steady_sizes { c.listing.size.max(1e-3) } else { 1.0 };
+                let own = c.usage.read(now) / self.size_of(&c.listing);
                 let reported = c.report.filter(|r| now - r.0 <= REPORT_LASTS).map(|r| r.1);
-                let own =
-                    if settings.utilisation_column.is_some() { None } else { Some(c.usage.read(now) / size) };
-                (c.listing.cache, reported.or(own))
+                let reports = self.settings.utilisation_column.is_some();
+                (c.listing.cache, if reports { reported } else { Some(own) })
             })
             .collect();
         let values: Vec<f64> = usages.iter().filter_map(|u| u.1).collect();
@@ -872,9 +798,7 @@
 
     /// Each slot ranks the ready caches by a hash of both, stretched by size where sizes are capacities.
     fn rebuild_table(&mut self) {
-        let mode = self.settings.mode;
-        let ready: Vec<Listing> =
-            self.caches.values().map(|c| c.listing).filter(|l| l.ready && !l.kind_is(mode)).collect();
+        let ready: Vec<Listing> = self.caches.values().filter(|c| c.serves()).map(|c| c.listing).collect();
         self.table_version += 1;
         self.table = (0..SLOTS)
             .map(|slot| {
@@ -1001,8 +925,12 @@
         call.work.map_or_else(learned, |w| w.as_secs_f64())
     }
 
+    fn product(&self, id: ProductId) -> &Product {
+        &self.settings.products[id.0 as usize]
+    }
+
     fn effect(&self, open: &Open) -> Effect {
-        self.settings.products[open.call.product.0 as usize].effect
+        self.product(open.call.product).effect
     }
 
     fn size_of(&self, listing: &Listing) -> f64 {
@@ -1010,7 +938,7 @@
     }
 
     fn is_origin(&self, cache: CacheId) -> bool {
-        self.caches.get(&cache).is_some_and(|c| c.listing.kind_is(self.settings.mode))
+        self.caches.get(&cache).is_some_and(|c| c.is_origin)
     }
 
     fn chance(&mut self) -> f64 {
@@ -1045,9 +973,16 @@
 }
 
 impl Cache {
-    fn new(listing: Listing, fall_window: Span, now: Time) -> Cache {
+    /// Whether it stands in the slot table.
+    fn serves(&self) -> bool {
+        self.listing.ready && !self.is_origin
+    }
+
+    fn new(listing: Listing, settings: &Settings, now: Time) -> Cache {
+        let is_origin = matches!(settings.mode, Mode::Aside { origin } if origin == listing.kind);
         Cache {
             listing,
+            is_origin,
             outcomes: VecDeque::new(),
             trial: None,
             limit: Limit::new(now),
@@ -1055,22 +990,10 @@
             held: (now, 0),
             usage: FadingLevel::new(USAGE_MEMORY, now),
             shots: FadingSum::new(USAGE_MEMORY, now),
-            burst: FadingSum::new(fall_window.max(LEARNING_STEP), now),
+            burst: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             push: 0.0,
             report: None,
             checked: None,
         }
     }
 }
-
-impl Listing {
-    fn kind_is(&self, mode: Mode) -> bool {
-        matches!(mode, Mode::Aside { origin } if origin == self.kind)
-    }
-}
-
-impl Outcome {
-    fn proves_it_never_ran(self) -> bool {
-        matches!(self, Outcome::Lacking | Outcome::Full | Outcome::Unreachable | Outcome::Moot)
-    }
-}
--- /dev/null
+++ b/src/calls.rs
@@ -0,0 +1,84 @@
+//! What is said of caches, API calls and shots, to the decisions and by them.
+
+use crate::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
+use crate::units::{Span, Time};
+
+/// One line of the list of caches.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub cache: CacheId,
+    pub kind: KindId,
+    pub size: f64,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    /// Whether new work may be sent: neither draining nor gone.
+    pub ready: bool,
+    /// When it last started, unless long ago.
+    pub started: Option<Time>,
+}
+
+/// What a client asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct ApiCall {
+    pub product: ProductId,
+    pub tenant: Option<TenantId>,
+    pub key: Key,
+    /// How long until the client gives up on this try.
+    pub budget: Span,
+    /// The estimated work, where known.
+    pub work: Option<Span>,
+    pub write: bool,
+}
+
+/// A shot to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shot {
+    pub api_call: ApiCallId,
+    pub cache: CacheId,
+    pub give_up_after: Span,
+}
+
+/// What became of a shot.
+#[derive(Clone, Copy, Debug)]
+pub struct ShotEnd {
+    pub number: ShotNumber,
+    pub cache: CacheId,
+    pub outcome: Outcome,
+    pub latency: Span,
+    /// Whether the API call is finished, by this or before.
+    pub answered: bool,
+}
+
+/// How a shot ended, as far as that decides what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Fulfilled,
+    /// Fulfilled after a fetch from the origin, where caches tell.
+    Fetched,
+    /// The cache lacks the key.
+    Lacking,
+    /// Turned away unseen.
+    Full,
+    /// No connection.
+    Unreachable,
+    /// Never sent.
+    Moot,
+    TimedOut,
+    Errored,
+    Reset,
+    /// Called off.
+    Recalled,
+}
+
+impl Outcome {
+    pub fn proves_it_never_ran(self) -> bool {
+        matches!(self, Outcome::Lacking | Outcome::Full | Outcome::Unreachable | Outcome::Moot)
+    }
+}
+
+/// A final answer that the node gives itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    RateLimited { come_back: Span },
+    Errored,
+}
