Scenario runner and scenarios; keys start anew when another cache is first

Fourteen scenarios play the module alone. They showed a recall by an earlier shot's alarm (fixed: only shots old enough are recalled), a call waiting for a repeat that no cache could allow, and a new cache that stayed nearly idle because its keys clung to the learned weights of others (fixed: such keys start anew).

--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -64,7 +64,6 @@
 struct ProductParams {
     #[serde(default = "one_f")]
     billed_value: f64,
-    client_timeout_us: u64,
     #[serde(default)]
     dedup_scope: String,
     effect: String,
@@ -145,7 +144,6 @@
     };
     Product {
         slo: Span(params.latency_slo_us),
-        client_timeout: Span(params.client_timeout_us),
         billed_value: params.billed_value,
         effect: match params.effect.as_str() {
             "read_like" => Effect::Idempotent,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,6 +103,8 @@
 struct KeyWeights {
     table: u64,
     slots: [Option<(CacheId, f64)>; CANDIDATES],
+    /// The cache that the slot table puts first.
+    first: Option<CacheId>,
     asked: FadingSum,
     last_asked: Time,
     /// The cache that answered last, and so holds it unless it was voided or dropped.
@@ -404,7 +406,9 @@
         let hopeless = now + Span::from_secs_f64(typical.read(now) * 0.5) > open.slo_end;
         let out_of_patience = now >= open.patience_end && open.shots.is_empty() && !open.over_quota;
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
-        let barred = !self.caches.values().any(|c| self.may_repeat(now, open, &c.listing));
+        let possible =
+            |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
+        let barred = open.may_have_run.is_some() && !self.caches.values().any(possible);
         if hopeless || barred || open.shots.len() >= self.settings.max_shots as usize {
             self.give_up(id);
             return None;
@@ -544,7 +548,9 @@
     /// or a fleet that is cold throughout would never be found out to work.
     fn cold_budget(&self, now: Time, cache: CacheId, work: f64) -> f64 {
         let size = self.caches.get(&cache).map_or(0.0, |c| self.size_of(&c.listing));
-        (self.carried.read(now) * size * self.warmth(now, cache)).max(work * 0.5)
+        // Twice the part may come together by chance; where even that would topple it, it gets less.
+        let part = (self.settings.fall_multiple * 0.5).min(1.0);
+        (self.carried.read(now) * size * self.warmth(now, cache) * part).max(work * 0.5)
     }
 
     /// What each unit of warm size got from this node within the fall window, as the caches now stand.
@@ -706,7 +712,9 @@
         let open = &self.open[&id];
         let last = open.shots.len() - 1;
         let Sent { cache, at: sent, out, .. } = open.shots[last];
-        let silent = self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
+        let patience = self.product(open.call.product).slo.scaled(SILENCE_SHARE);
+        // The alarm may have been set for an earlier shot of this call.
+        let silent = now >= sent + patience && self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
         let idempotent = self.effect(open) == Effect::Idempotent && !self.is_origin(cache);
         if out && silent && idempotent && self.settings.may_recall && now < open.slo_end {
             self.recalls.push_back((id, ShotNumber(last as u8)));
@@ -764,10 +772,15 @@
             asked: FadingSum::new(memory, now),
             last_asked: now,
             held_by: None,
+            first: fresh[0].map(|f| f.0),
         });
         if weights.table != version {
             let old = weights.slots;
-            let kept = |c: CacheId| old.iter().flatten().find(|o| o.0 == c).map(|o| o.1);
+            // Where another cache is now first, all nodes start alike with it; a key that clung to the
+            // weights of the others would leave a new cache idle for good.
+            let same_first = fresh[0].map(|f| f.0) == weights.first;
+            let kept = |c: CacheId| old.iter().flatten().find(|o| same_first && o.0 == c).map(|o| o.1);
+            weights.first = fresh[0].map(|f| f.0);
             weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
             weights.table = version;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,7 +49,6 @@
 #[derive(Clone, Debug)]
 pub struct Product {
     pub slo: Span,
-    pub client_timeout: Span,
     pub billed_value: f64,
     pub effect: Effect,
 }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,370 @@
+//! Plays the scenarios: text files in a notation of our own, on the decision module alone.
+//!
+//! A line is a comment (`#`), a setting (`settings k=v ...`, `product NAME EFFECT k=v ...`), something that
+//! happens (`MS WHAT ...`), or a decision that must follow (`> WHAT ...`). All decisions up to the next
+//! thing that happens must be named, in order; `> ...` passes over any number of them. A cache is called
+//! by any name; an upper-case name stands for whichever cache it is first seen as.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use granitelb::brain::Brain;
+use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
+use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, TenantId, ZoneId};
+use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::units::{Span, Time};
+use test_case::test_case;
+
+/// The clock does not start at zero.
+const START: u64 = 1_000_000_000;
+
+struct Stage {
+    settings: Settings,
+    products: Vec<String>,
+    /// Each product's client timeout in milliseconds.
+    timeouts: Vec<f64>,
+    brain: Option<Brain>,
+    now: u64,
+    caches: Vec<String>,
+    bound: BTreeMap<String, usize>,
+    calls: Vec<String>,
+    /// For each call, where its shots went.
+    shots: BTreeMap<usize, Vec<CacheId>>,
+    decided: VecDeque<(u64, String)>,
+    /// Shots by cache since the last count.
+    counts: BTreeMap<CacheId, usize>,
+}
+
+fn option<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn number(words: &[&str], name: &str, otherwise: f64) -> f64 {
+    option(words, name).map_or(otherwise, |v| v.parse().unwrap_or_else(|_| panic!("{name}={v}")))
+}
+
+fn span(ms: f64) -> Span {
+    Span::from_secs_f64(ms / 1e3)
+}
+
+fn settings(words: &[&str]) -> Settings {
+    let quotas = option(words, "quotas").unwrap_or("").split(',').filter(|q| !q.is_empty());
+    Settings {
+        mode: match option(words, "mode") {
+            Some("through") => Mode::Through,
+            _ => Mode::Aside { origin: KindId(1) },
+        },
+        products: Vec::new(),
+        quotas_per_s: quotas.map(|q| q.parse().expect("a quota")).collect(),
+        nodes: number(words, "nodes", 1.0),
+        list_on_request: words.contains(&"ask"),
+        must_ask_in: span(10_000.0),
+        cold_from: 0.2,
+        warm_after: span(20_000.0),
+        fall_multiple: 3.0,
+        fall_window: span(2000.0),
+        max_shots: 4,
+        second_copies: words.contains(&"copies"),
+        may_recall: true,
+        may_check: words.contains(&"reports"),
+        max_come_back: span(1500.0),
+        value_by_work: false,
+        utilisation_column: words.contains(&"reports").then_some(0),
+        reports_need_checks: words.contains(&"reports"),
+        steady_sizes: words.contains(&"sizes"),
+    }
+}
+
+fn effect(word: &str) -> Effect {
+    let (kind, window) = word.split_once(':').unwrap_or((word, "0"));
+    let window = span(window.parse().expect("a window"));
+    match kind {
+        "idempotent" => Effect::Idempotent,
+        "non-idempotent" => Effect::NonIdempotent,
+        "dedup-all" => Effect::Deduplicated { scope: DedupScope::All, window },
+        "dedup-zone" => Effect::Deduplicated { scope: DedupScope::Zone, window },
+        "dedup-cell" => Effect::Deduplicated { scope: DedupScope::Cell, window },
+        _ => panic!("no effect {word}"),
+    }
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "fulfilled" => Outcome::Fulfilled,
+        "fetched" => Outcome::Fetched,
+        "lacking" => Outcome::Lacking,
+        "full" => Outcome::Full,
+        "unreachable" => Outcome::Unreachable,
+        "moot" => Outcome::Moot,
+        "timed-out" => Outcome::TimedOut,
+        "errored" => Outcome::Errored,
+        "reset" => Outcome::Reset,
+        "recalled" => Outcome::Recalled,
+        _ => panic!("no outcome {word}"),
+    }
+}
+
+impl Stage {
+    fn brain(&mut self) -> &mut Brain {
+        let settings = &self.settings;
+        self.brain.get_or_insert_with(|| Brain::new(settings.clone(), 7, Time(START)))
+    }
+
+    /// The number behind a cache's name.
+    fn cache(&mut self, name: &str) -> CacheId {
+        if let Some(n) = self.bound.get(name) {
+            return CacheId(*n as u64);
+        }
+        let n = self.caches.iter().position(|c| c == name).unwrap_or_else(|| {
+            self.caches.push(name.to_string());
+            self.caches.len() - 1
+        });
+        CacheId(n as u64)
+    }
+
+    fn call(&mut self, name: &str) -> usize {
+        self.calls.iter().position(|c| c == name).unwrap_or_else(|| {
+            self.calls.push(name.to_string());
+            self.calls.len() - 1
+        })
+    }
+
+    /// Pulls all decisions.
+    fn pull(&mut self) {
+        let now = Time(self.now);
+        let mut decided = Vec::new();
+        let brain = self.brain();
+        while let Some(shot) = brain.next_shot(now) {
+            decided.push((Some((shot.api_call.0 as usize, shot.cache)), "shot".to_string()));
+        }
+        while let Some((id, answer)) = brain.next_answer(now) {
+            let word = if answer == Answer::Errored { "errored" } else { "rate-limited" };
+            decided.push((Some((id.0 as usize, CacheId(u64::MAX))), word.to_string()));
+        }
+        while let Some((id, number)) = brain.next_recall() {
+            decided.push((Some((id.0 as usize, CacheId(u64::MAX))), format!("recall {}", number.0)));
+        }
+        while brain.next_check(now).is_some() {}
+        if brain.wants_watch(now) {
+            decided.push((None, "watch".to_string()));
+        }
+        for (subject, word) in decided {
+            let Some((call, cache)) = subject else {
+                self.decided.push_back((self.now, word));
+                continue;
+            };
+            let mut text = format!("{word} {}", self.calls[call]);
+            if word == "shot" {
+                self.shots.entry(call).or_default().push(cache);
+                *self.counts.entry(cache).or_default() += 1;
+                text += &format!(" {}", self.caches[cache.0 as usize]);
+            }
+            self.decided.push_back((self.now, text));
+        }
+    }
+
+    /// Lets time pass, pulling whenever the module asked for it.
+    fn advance(&mut self, until: u64) {
+        while let Some(wake) = self.brain.as_ref().and_then(|b| b.next_wake(Time(self.now))) {
+            if wake.0 > until {
+                break;
+            }
+            self.now = wake.0.max(self.now + 1000);
+            self.pull();
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn list(&mut self, words: &[&str], complete: bool, remembered: bool) {
+        let now = Time(self.now);
+        let listing = |stage: &mut Stage, word: &&str| {
+            let mut parts = word.split(':');
+            let name = parts.next().expect("a name");
+            let options: Vec<&str> = parts.collect();
+            Listing {
+                cache: stage.cache(name),
+                kind: KindId(u16::from(name == "origin")),
+                size: number(&options, "size", 1.0),
+                zone: ZoneId(number(&options, "zone", 0.0) as u16),
+                cell: CellId(number(&options, "cell", 0.0) as u16),
+                ready: !options.contains(&"draining") && !options.contains(&"gone"),
+                started: options.contains(&"new").then_some(now),
+            }
+        };
+        let listings: Vec<Listing> = words.iter().map(|w| listing(self, w)).collect();
+        match remembered {
+            true => self.brain().caches_remembered(now, &listings),
+            false => self.brain().caches_listed(now, &listings, complete),
+        }
+    }
+
+    fn ask(&mut self, name: &str, words: &[&str]) {
+        let product = self.products.iter().position(|p| p == words[0]).expect("a product");
+        let budget = span(number(words, "budget", self.timeouts[product]));
+        let call = ApiCall {
+            product: ProductId(product as u16),
+            tenant: option(words, "tenant").map(|t| TenantId(t.parse().expect("a tenant"))),
+            key: Key(words[1].parse().expect("a key")),
+            budget,
+            work: option(words, "work").map(|w| span(w.parse().expect("work"))),
+            write: words.contains(&"write"),
+        };
+        let (id, now) = (self.call(name), Time(self.now));
+        self.brain().api_call(now, ApiCallId(id as u64), call);
+    }
+
+    fn end(&mut self, name: &str, words: &[&str]) {
+        let id = self.call(name);
+        let shots = &self.shots[&id];
+        let number = number(words, "shot", shots.len() as f64 - 1.0) as usize;
+        let outcome = outcome(words[0]);
+        let answered = matches!(outcome, Outcome::Fulfilled | Outcome::Fetched);
+        let latency = span(option(words, "after").map_or(50.0, |a| a.parse().expect("a latency")));
+        let load: Vec<f32> = option(words, "load").map(|l| l.parse().expect("a load")).into_iter().collect();
+        let end =
+            ShotEnd { number: ShotNumber(number as u8), cache: shots[number], outcome, latency, answered };
+        let now = Time(self.now);
+        self.brain().shot_ended(now, ApiCallId(id as u64), &end, &load);
+    }
+
+    /// Calls for many keys, one at a time, each ended as said.
+    fn load(&mut self, words: &[&str]) {
+        let (calls, every) = (number(words, "calls", 0.0) as u64, number(words, "every", 10.0));
+        let keys = number(words, "keys", 100.0) as u64;
+        let reports: Vec<_> =
+            option(words, "reports").unwrap_or("").split(',').filter_map(|r| r.split_once(':')).collect();
+        for n in 0..calls {
+            for (cache, load) in reports.iter().filter(|_| n % 50 == 0) {
+                let (cache, now) = (self.cache(cache), Time(self.now));
+                self.brain().cache_checked(now, cache, &[load.parse().expect("a load")]);
+            }
+            let name = format!("load{}", self.calls.len());
+            self.ask(&name, &[words[0], &(n % keys).to_string()]);
+            self.pull();
+            let id = self.call(&name);
+            self.now += span(every).0;
+            if self.shots.contains_key(&id) {
+                self.end(&name, &words[1..]);
+                self.pull();
+            }
+        }
+        self.decided.clear();
+    }
+
+    fn happen(&mut self, at: u64, words: &[&str]) {
+        let (&what, rest) = words.split_first().unwrap_or((&"wait", &[]));
+        self.advance(START + at * 1000);
+        let now = Time(self.now);
+        match what {
+            "wait" => {}
+            "list" => self.list(rest, true, false),
+            "remembered" => self.list(rest, true, true),
+            "change" => self.list(rest, false, false),
+            "list-failed" => self.brain().list_failed(now),
+            "call" => self.ask(rest[0], &rest[1..]),
+            "end" => self.end(rest[0], &rest[1..]),
+            "load" => {
+                self.counts.clear();
+                self.load(rest);
+            }
+            "left" => {
+                let id = ApiCallId(self.call(rest[0]) as u64);
+                self.brain().client_left(now, id);
+            }
+            _ => panic!("nothing happens by {what}"),
+        }
+        self.pull();
+    }
+
+    /// Checks one decision, or what a load counted.
+    fn expect(&mut self, words: &[&str]) {
+        if words[0] == "..." {
+            return self.decided.clear();
+        }
+        if let ["count", cache, relation, most] = words {
+            let cache = self.cache(cache);
+            let (count, most) =
+                (self.counts.get(&cache).copied().unwrap_or(0), most.parse().expect("a count"));
+            let holds = if *relation == "<" { count < most } else { count > most };
+            assert!(holds, "{count} shots, not {relation} {most}; all: {:?}", self.counts);
+            return;
+        }
+        let (at, text) = self.decided.pop_front().unwrap_or_else(|| panic!("nothing decided"));
+        let said: Vec<&str> = text.split(' ').collect();
+        for (n, word) in words.iter().filter(|w| !w.starts_with("at=")).enumerate() {
+            let name = word.starts_with(|c: char| c.is_ascii_uppercase());
+            if n == 2 && name && !self.bound.contains_key(*word) {
+                let cache = self.cache(said[2]);
+                assert!(said[2] != "origin" && self.bound.values().all(|b| *b as u64 != cache.0), "{text}");
+                self.bound.insert(word.to_string(), cache.0 as usize);
+            }
+            let meant = self.bound.get(*word).map_or(word.to_string(), |n| self.caches[*n].clone());
+            assert_eq!(said.get(n), Some(&&*meant), "decided: {text}");
+        }
+        if let Some(due) = option(words, "at") {
+            assert_eq!(((at - START) / 1000).to_string(), due, "decided at: {text}");
+        }
+    }
+}
+
+fn play(text: &str) {
+    let mut stage = Stage {
+        settings: settings(&[]),
+        products: Vec::new(),
+        timeouts: Vec::new(),
+        brain: None,
+        now: START,
+        caches: Vec::new(),
+        bound: BTreeMap::new(),
+        calls: Vec::new(),
+        shots: BTreeMap::new(),
+        decided: VecDeque::new(),
+        counts: BTreeMap::new(),
+    };
+    for line in text.lines() {
+        let words: Vec<&str> = line.split_whitespace().take_while(|w| !w.starts_with('#')).collect();
+        let Some((&first, rest)) = words.split_first() else { continue };
+        println!("{line}");
+        match first {
+            "settings" => stage.settings = settings(rest),
+            "product" => {
+                stage.products.push(rest[0].to_string());
+                stage.timeouts.push(number(rest, "timeout", 1200.0));
+                stage.settings.products.push(Product {
+                    slo: span(number(rest, "slo", 600.0)),
+                    billed_value: number(rest, "value", 1.0),
+                    effect: effect(rest[1]),
+                });
+            }
+            ">" => stage.expect(rest),
+            _ => {
+                assert!(stage.decided.is_empty(), "not foreseen: {:?}", stage.decided);
+                stage.happen(first.parse().expect("a time"), rest);
+            }
+        }
+    }
+    assert!(stage.decided.is_empty(), "not foreseen: {:?}", stage.decided);
+}
+
+macro_rules! scenario {
+    ($name:literal) => {
+        include_str!(concat!("scenarios/", $name, ".txt"))
+    };
+}
+
+#[test_case(scenario!("ordinary-path"); "ordinary path")]
+#[test_case(scenario!("outcomes"); "outcomes")]
+#[test_case(scenario!("one-answer"); "one answer")]
+#[test_case(scenario!("effects"); "effects")]
+#[test_case(scenario!("drains"); "drains")]
+#[test_case(scenario!("cold"); "cold")]
+#[test_case(scenario!("joined"); "joined")]
+#[test_case(scenario!("hang"); "hang")]
+#[test_case(scenario!("learning"); "learning")]
+#[test_case(scenario!("reports"); "reports")]
+#[test_case(scenario!("through"); "through")]
+#[test_case(scenario!("tenants"); "tenants")]
+#[test_case(scenario!("list"); "list")]
+#[test_case(scenario!("crowd"); "crowd")]
+fn scenario(text: &str) {
+    play(text);
+}
