--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -361,6 +361,7 @@
 #[test_case(scenario!("hang"); "hang")]
 #[test_case(scenario!("learning"); "learning")]
 #[test_case(scenario!("reports"); "reports")]
+#[test_case(scenario!("stale"); "stale")]
 #[test_case(scenario!("through"); "through")]
 #[test_case(scenario!("tenants"); "tenants")]
 #[test_case(scenario!("list"); "list")]
