--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,9 +102,8 @@
 
 struct KeyWeights {
     table: u64,
+    /// In the slot table's order.
     slots: [Option<(CacheId, f64)>; CANDIDATES],
-    /// The cache that the slot table puts first.
-    first: Option<CacheId>,
     asked: FadingSum,
     last_asked: Time,
     /// The cache that answered last, and so holds it unless it was voided or dropped.
@@ -140,13 +139,6 @@
     lacking: bool,
 }
 
-struct ProductRecord {
-    /// How long a shot takes that a cache fulfilled
-    /// and needed no fetch, in seconds: one slow origin must not make every call look hopeless.
-    latency: FadingMean,
-    origin_latency: FadingMean,
-}
-
 pub struct Brain {
     settings: Settings,
     seed: u64,
@@ -157,7 +149,8 @@
     keys: HashMap<Key, KeyWeights>,
     asked: FadingSum,
     learned: Time,
-    products: Vec<ProductRecord>,
+    /// For each product, how long an answer takes in seconds: a cache's without a fetch, and the origin's.
+    latencies: Vec<[FadingMean; 2]>,
     /// Each tenant's unused quota and when it was reckoned.
     quotas: Vec<(f64, Time)>,
     open: HashMap<ApiCallId, Open>,
@@ -192,15 +185,11 @@
 /// Interface.
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
-        let first_latency = |p: &Product| p.slo.as_secs_f64() / 8.0;
-        let products = settings.products.iter();
-        let products = products.map(|p| ProductRecord {
-            latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
-            origin_latency: FadingMean::new(USAGE_MEMORY.scaled(4.0), now, first_latency(p)),
-        });
+        let memory = USAGE_MEMORY.scaled(4.0);
+        let latencies = |p: &Product| [FadingMean::new(memory, now, p.slo.as_secs_f64() / 8.0); 2];
         let carried = FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0);
         Brain {
-            products: products.collect(),
+            latencies: settings.products.iter().map(latencies).collect(),
             quotas: settings
                 .quotas_per_s
                 .iter()
@@ -214,7 +203,7 @@
             table: Vec::new(),
             table_version: 0,
             keys: HashMap::new(),
-            asked: FadingSum::new(USAGE_MEMORY.scaled(4.0), now),
+            asked: FadingSum::new(memory, now),
             learned: now,
             open: HashMap::new(),
             ready: BTreeMap::new(),
@@ -260,7 +249,7 @@
         let slo = product.slo.min(call.budget);
         let mut value = product.billed_value;
         if !self.settings.value_by_work {
-            value /= self.products[call.product.0 as usize].latency.read(now).max(1e-6);
+            value /= self.latency(now, call.product, false).max(1e-6);
         }
         let over_quota = !self.within_quota(now, call.tenant);
         self.calls_seen += 1;
@@ -400,11 +389,9 @@
     /// The shot for a call that waits, if one can be sent; else it may be given up or go on waiting.
     fn place(&mut self, now: Time, id: ApiCallId) -> Option<Shot> {
         let open = self.open.get(&id)?;
-        let product = &self.products[open.call.product.0 as usize];
         let reads_here = !(self.settings.mode != Mode::Through && (open.call.write || open.lacking));
-        let typical = if reads_here { &product.latency } else { &product.origin_latency };
-        let hopeless = now + Span::from_secs_f64(typical.read(now) * 0.5) > open.slo_end;
-        let out_of_patience = now >= open.patience_end && open.shots.is_empty() && !open.over_quota;
+        let typical = self.latency(now, open.call.product, !reads_here);
+        let hopeless = now + Span::from_secs_f64(typical * 0.5) > open.slo_end;
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
         let possible =
             |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
@@ -426,7 +413,7 @@
         let target = if reads_here { self.best_candidate(now, id) } else { self.best_origin(now, id) };
         let Some(cache) = target else {
             let open = self.open.get(&id)?;
-            if out_of_patience || open.over_quota && open.shots.is_empty() {
+            if now >= open.patience_end && open.shots.is_empty() {
                 self.give_up(id);
             }
             return None;
@@ -632,9 +619,9 @@
             return;
         }
         self.fetching.remove(&key);
-        let mut joined: Vec<_> = self.open.iter().filter(|(_, o)| o.joined && o.call.key == key).collect();
-        joined.sort_by_key(|(_, o)| o.rank);
-        for id in joined.into_iter().map(|(id, _)| *id).collect::<Vec<_>>() {
+        let waits = |o: &Open| o.joined && o.call.key == key;
+        let joined: Vec<_> = self.open.iter().filter(|(_, o)| waits(o)).map(|(id, _)| *id).collect();
+        for id in joined {
             self.set_waiting(id);
         }
     }
@@ -660,14 +647,11 @@
             match self.caches.get_mut(&listing.cache) {
                 // A restart under the same id begins cold and with a clean slate.
                 Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
-                Some(cache) => {
-                    let in_flight = cache.limit.in_flight;
-                    *cache = Cache::new(*listing, &self.settings, now);
+                known => {
+                    let in_flight = known.map_or(0, |c| c.limit.in_flight);
+                    let mut cache = Cache::new(*listing, &self.settings, now);
                     cache.limit.in_flight = in_flight;
-                    cache.usage.step_by(now, in_flight as f64);
-                }
-                None => {
-                    let cache = Cache::new(*listing, &self.settings, now);
+                    cache.usage.step_by(now, f64::from(in_flight));
                     self.caches.insert(listing.cache, cache);
                 }
             }
@@ -724,25 +708,20 @@
     /// One learning step: the push on every stored weight, by its cache's usage against the mean.
     fn learn(&mut self, now: Time) {
         self.carried.add(now, self.carried_now(now));
-        let usages: Vec<(CacheId, Option<f64>)> = self
-            .caches
-            .values()
-            .filter(|c| c.serves())
-            .map(|c| {
-                let own = c.usage.read(now) / self.size_of(&c.listing);
-                let reported = c.report.filter(|r| now - r.0 <= REPORT_LASTS).map(|r| r.1);
-                let reports = self.settings.utilisation_column.is_some();
-                (c.listing.cache, if reports { reported } else { Some(own) })
-            })
-            .collect();
+        let reports = self.settings.utilisation_column.is_some();
+        let usage = |c: &Cache| match c.report.filter(|r| now - r.0 <= REPORT_LASTS) {
+            Some(report) => Some(report.1),
+            None if reports => None,
+            None => Some(c.usage.read(now) / self.size_of(&c.listing)),
+        };
+        let serving = self.caches.values().filter(|c| c.serves());
+        let usages: Vec<(CacheId, Option<f64>)> = serving.map(|c| (c.listing.cache, usage(c))).collect();
         let values: Vec<f64> = usages.iter().filter_map(|u| u.1).collect();
         let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
         for (id, usage) in usages {
             let cache = self.caches.get_mut(&id).expect("listed above");
-            let trust = match self.settings.utilisation_column {
-                Some(_) => 1.0,
-                None => cache.shots.read(now) / (cache.shots.read(now) + USAGE_PRIOR),
-            };
+            let rested = cache.shots.read(now);
+            let trust = if reports { 1.0 } else { rested / (rested + USAGE_PRIOR) };
             let relative = if mean > 0.0 { usage.map_or(1.0, |u| u / mean) } else { 1.0 };
             let usage = 1.0 + (relative - 1.0) * trust;
             cache.push = PUSH * (1.0 - usage) + PUSH_KEPT * cache.push;
@@ -772,15 +751,13 @@
             asked: FadingSum::new(memory, now),
             last_asked: now,
             held_by: None,
-            first: fresh[0].map(|f| f.0),
         });
         if weights.table != version {
             let old = weights.slots;
             // Where another cache is now first, all nodes start alike with it; a key that clung to the
             // weights of the others would leave a new cache idle for good.
-            let same_first = fresh[0].map(|f| f.0) == weights.first;
+            let same_first = fresh[0].map(|f| f.0) == old[0].map(|f| f.0);
             let kept = |c: CacheId| old.iter().flatten().find(|o| same_first && o.0 == c).map(|o| o.1);
-            weights.first = fresh[0].map(|f| f.0);
             weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
             weights.table = version;
         }
@@ -801,12 +778,10 @@
 
     fn start_weights(&self, key: Key) -> [Option<(CacheId, f64)>; CANDIDATES] {
         let Some(slot) = self.table.get((hash_of(key) % SLOTS) as usize) else { return [None; CANDIDATES] };
-        let mut weights = [None; CANDIDATES];
-        for (place, cache) in slot.iter().enumerate() {
+        std::array::from_fn(|place| {
             let spread = START_SPREAD * unit(hash_of((key, place)));
-            weights[place] = cache.map(|c| (c, START[place] + spread));
-        }
-        weights
+            slot[place].map(|cache| (cache, START[place] + spread))
+        })
     }
 
     /// Each slot ranks the ready caches by a hash of both, stretched by size where sizes are capacities.
@@ -830,7 +805,7 @@
         // Every answer of the origin's own is a fetch.
         let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
         let fetch_failed = self.fetch_failed(now, sent, outcome, latency);
-        let slo = self.settings.products[sent.product.0 as usize].slo;
+        let slo = self.product(sent.product).slo;
         let slow = latency > slo.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
@@ -848,13 +823,13 @@
                 _ => {}
             }
         }
-        let record = &mut self.products[sent.product.0 as usize];
         // What came too late does not count: it would make every call look hopeless, and so stay unlearnt.
+        // Nor does a fetch: one slow origin must not do that either.
         if outcome == Outcome::Fulfilled && latency <= slo {
-            let mean = if origin { &mut record.origin_latency } else { &mut record.latency };
+            let mean = &mut self.latencies[sent.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
         }
-        let typical = record.latency.read(now);
+        let typical = self.latency(now, sent.product, false);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
         if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
@@ -908,7 +883,7 @@
 
     /// Whether an error tells of a fetch behind the cache: it took longer than hits do.
     fn fetch_failed(&self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) -> bool {
-        let hit = self.products[sent.product.0 as usize].latency.read(now);
+        let hit = self.latency(now, sent.product, false);
         let through = self.settings.mode == Mode::Through;
         through && outcome == Outcome::Errored && latency.as_secs_f64() > hit
     }
@@ -934,8 +909,11 @@
     }
 
     fn work_of(&self, now: Time, call: &ApiCall) -> f64 {
-        let learned = || self.products[call.product.0 as usize].latency.read(now);
-        call.work.map_or_else(learned, |w| w.as_secs_f64())
+        call.work.map_or_else(|| self.latency(now, call.product, false), |w| w.as_secs_f64())
+    }
+
+    fn latency(&self, now: Time, product: ProductId, origin: bool) -> f64 {
+        self.latencies[product.0 as usize][usize::from(origin)].read(now)
     }
 
     fn product(&self, id: ProductId) -> &Product {
