--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 const HELD_DOUBLINGS: u32 = 3;
 const MAX_LIMIT: f64 = 512.0;
 /// An answer slower than this share of its SLO tells of a queue.
-const SLOW_SHARE: f64 = 0.6;
+const SLOW_SHARE: f64 = 0.4;
 /// Share of an SLO that an API call may wait here, with nothing out, for room.
 const PATIENCE: f64 = 0.4;
 /// A cache silent for this share of an SLO since a shot was sent is held to hang.
