In-flight limits start at a figure shared by all nodes

Twelve over all nodes instead of four at each. Kept for fleets with many nodes, where four at each may start above what a cache stands.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,8 +49,8 @@
 /// First wait before a failing cache is tried again, doubled up to the last.
 const FIRST_TRIAL: Span = Span::from_millis(1000);
 const LAST_TRIAL: Span = Span::from_millis(8000);
-/// In-flight limits start so high, and are cut to this share.
-const FIRST_LIMIT: f64 = 4.0;
+/// In-flight limits start so high over all nodes together, and are cut to this share.
+const FIRST_LIMIT: f64 = 12.0;
 const LIMIT_CUT: f64 = 0.7;
 /// A cache that goes on turning shots away is left alone for up to 2 to this power times longer.
 const HELD_DOUBLINGS: u32 = 3;
@@ -196,6 +196,7 @@
                 .map(|q| (q / settings.nodes * QUOTA_MEMORY_S, now))
                 .collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
+            fetches: Limit::new(settings.nodes, now),
             settings,
             seed,
             chances: 0,
@@ -211,7 +212,6 @@
             alarms: BTreeSet::new(),
             fetching: HashMap::new(),
             out: HashMap::new(),
-            fetches: Limit::new(now),
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
@@ -939,8 +939,8 @@
 }
 
 impl Limit {
-    fn new(now: Time) -> Limit {
-        Limit { in_flight: 0, most: FIRST_LIMIT, last_cut: now }
+    fn new(nodes: f64, now: Time) -> Limit {
+        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now }
     }
 
     fn has_room(&self, share: f64) -> bool {
@@ -976,7 +976,7 @@
             is_origin,
             outcomes: VecDeque::new(),
             trial: None,
-            limit: Limit::new(now),
+            limit: Limit::new(settings.nodes, now),
             last_heard: now,
             held: (now, 0),
             usage: FadingLevel::new(USAGE_MEMORY, now),
