Turned-away clients are asked to come back after four SLOs

Incident on south: 64% refused, three tries a call, 18% late: repeats that came too late for their SLO took the place of first tries.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,6 +59,9 @@
 const SLOW_SHARE: f64 = 0.4;
 /// Share of an SLO that an API call may wait here, with nothing out, for room.
 const PATIENCE: f64 = 0.4;
+/// A turned-away client is asked to stay away for this many SLOs: a repeat soon after comes too late for the
+/// SLO of its first try, and takes the place of a call that does not.
+const COME_BACK: f64 = 4.0;
 /// A cache silent for this share of an SLO since a shot was sent is held to hang.
 const SILENCE_SHARE: f64 = 0.5;
 /// A call over its tenant's quota uses only this share of a limit.
@@ -588,7 +591,7 @@
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
             _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.out),
         };
-        let come_back = slo.scaled(0.5).min(self.settings.max_come_back);
+        let come_back = slo.scaled(COME_BACK).min(self.settings.max_come_back);
         let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
         self.answer(id, answer);
     }
