--- a/src/brain.rs
+++ b/src/brain.rs
@@ -394,7 +394,7 @@
         let open = self.open.get(&id)?;
         let reads_here = !(self.settings.mode != Mode::Through && (open.call.write || open.lacking));
         let typical = self.latency(now, open.call.product, !reads_here);
-        let hopeless = now + Span::from_secs_f64(typical * 0.5) > open.slo_end;
+        let hopeless = now + Span::from_secs_f64(typical) > open.slo_end;
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
         let possible =
             |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
