--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,8 +52,8 @@
 /// In-flight limits start so high over all nodes together, and are cut to this share.
 const FIRST_LIMIT: f64 = 12.0;
 const LIMIT_CUT: f64 = 0.7;
-/// A cache that goes on turning shots away is left alone for up to 2 to this power times longer.
-const HELD_DOUBLINGS: u32 = 3;
+/// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
+const MIN_LIMIT: f64 = 0.25;
 const MAX_LIMIT: f64 = 512.0;
 /// An answer slower than this share of its SLO tells of a queue.
 const SLOW_SHARE: f64 = 0.4;
@@ -76,11 +76,14 @@
 /// A refused or unanswered watch is asked for again after this, growing, with jitter.
 const FIRST_REASK: Span = Span::from_millis(500);
 
-/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share.
+/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one
+/// it is the share of the time that a shot may be out: with a floor of one, many nodes together would keep
+/// a crowded cache crowded for good.
 struct Limit {
     in_flight: u32,
     most: f64,
     last_cut: Time,
+    rest_until: Time,
 }
 
 struct Cache {
@@ -92,8 +95,6 @@
     trial: Option<(Time, Span)>,
     limit: Limit,
     last_heard: Time,
-    /// After it turned shots away: until when none goes there, and how many it turned away in a row.
-    held: (Time, u32),
     usage: FadingLevel,
     shots: FadingSum,
     /// Work sent within the fall window.
@@ -460,7 +461,7 @@
     fn has_room(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let open = &self.open[&id];
         let Some(c) = self.caches.get(&cache) else { return false };
-        if open.passed.contains(&cache) || now < c.held.0 {
+        if open.passed.contains(&cache) {
             return false;
         }
         if let Some((at, _)) = c.trial {
@@ -468,8 +469,8 @@
             return at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
         }
         let share = if open.over_quota { OVER_QUOTA_SHARE } else { 1.0 };
-        let fetch_fits = self.fetches.has_room(share) || !self.likely_fetch(&open.call, cache);
-        fetch_fits && c.limit.has_room(share)
+        let fetch_fits = self.fetches.has_room(now, share) || !self.likely_fetch(&open.call, cache);
+        fetch_fits && c.limit.has_room(now, share)
     }
 
     /// Whether a through cache will have to ask the origin, as far as this node can tell.
@@ -809,6 +810,7 @@
         let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
         let fetch_failed = self.fetch_failed(now, sent, outcome, latency);
         let slo = self.product(sent.product).slo;
+        let service = Span::from_secs_f64(self.latency(now, sent.product, origin) * (0.5 + chance));
         let slow = latency > slo.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
@@ -817,7 +819,7 @@
                 Outcome::TimedOut => Some(slow),
                 _ => None,
             };
-            self.fetches.learn(now, latency, crowded);
+            self.fetches.learn(now, latency, crowded, service);
         }
         if let Some(weights) = self.keys.get_mut(&sent.key) {
             match outcome {
@@ -832,7 +834,6 @@
             let mean = &mut self.latencies[sent.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
         }
-        let typical = self.latency(now, sent.product, false);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
         if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
@@ -846,7 +847,7 @@
             Outcome::Lacking if slow => Some(true),
             _ => None,
         };
-        c.limit.learn(now, latency, crowded);
+        c.limit.learn(now, latency, crowded, service);
         let healthy = match outcome {
             // The origin's trouble bars no cache: its hits are needed then more than ever.
             Outcome::Errored if fetch_failed => return,
@@ -858,15 +859,6 @@
             // A recalled shot met silence, or its client left.
             _ => false,
         };
-        // A crowded cache that turns shots away at once would be sent ever more of them, and spends its
-        // strength on that: it is left alone for about as long as it takes to serve one, growing.
-        if outcome == Outcome::Full {
-            let growth = f64::from(1u32 << c.held.1.min(HELD_DOUBLINGS));
-            let pause = typical * growth * (0.5 + chance);
-            c.held = (now + Span::from_secs_f64(pause), c.held.1 + 1);
-        } else if healthy {
-            c.held = (now, 0);
-        }
         c.outcomes.push_back(healthy);
         if c.outcomes.len() > OUTCOMES_KEPT {
             c.outcomes.pop_front();
@@ -943,26 +935,32 @@
 
 impl Limit {
     fn new(nodes: f64, now: Time) -> Limit {
-        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now }
+        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now, rest_until: now }
     }
 
-    fn has_room(&self, share: f64) -> bool {
-        f64::from(self.in_flight) < (self.most * share).max(1.0)
+    fn has_room(&self, now: Time, share: f64) -> bool {
+        now >= self.rest_until && f64::from(self.in_flight) < (self.most * share).max(1.0)
     }
 
-    /// One of those in flight ended after `latency`, having met a crowd, none, or neither.
-    fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>) {
+    /// One of those in flight ended after `latency`, having met a crowd, none, or neither. `service` is
+    /// how long one should take, give or take by chance.
+    fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span) {
         let filled = f64::from(self.in_flight) >= self.most * 0.5;
         self.in_flight = self.in_flight.saturating_sub(1);
         match crowded {
             // One cut for one crowd: only shots sent after the last cut tell of the limit it set.
             Some(true) if now - self.last_cut >= latency => {
-                self.most = (self.most * LIMIT_CUT).max(1.0);
+                self.most = (self.most * LIMIT_CUT).max(MIN_LIMIT);
                 self.last_cut = now;
             }
-            Some(false) if filled => self.most = (self.most + 1.0 / self.most).min(MAX_LIMIT),
+            Some(false) if filled => self.most = (self.most + self.most.min(1.0 / self.most)).min(MAX_LIMIT),
             _ => {}
         }
+        // Turned away at once, shots would become a crowded cache's whole work.
+        if self.most < 1.0 || crowded == Some(true) {
+            let rests = (1.0 / self.most - 1.0).max(if latency < service { 1.0 } else { 0.0 });
+            self.rest_until = now + service.scaled(rests);
+        }
     }
 }
 
@@ -981,7 +979,6 @@
             trial: None,
             limit: Limit::new(settings.nodes, now),
             last_heard: now,
-            held: (now, 0),
             usage: FadingLevel::new(USAGE_MEMORY, now),
             shots: FadingSum::new(USAGE_MEMORY, now),
             burst: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
