--- a/src/brain.rs
+++ b/src/brain.rs
@@ -848,6 +848,10 @@
             _ => None,
         };
         c.limit.learn(now, latency, crowded, service);
+        if outcome == Outcome::Full {
+            // Repeated at once, shots that are turned away would become a crowded cache's whole work.
+            c.limit.rest_until = c.limit.rest_until.max(now + service);
+        }
         let healthy = match outcome {
             // The origin's trouble bars no cache: its hits are needed then more than ever.
             Outcome::Errored if fetch_failed => return,
@@ -956,10 +960,8 @@
             Some(false) if filled => self.most = (self.most + self.most.min(1.0 / self.most)).min(MAX_LIMIT),
             _ => {}
         }
-        // Turned away at once, shots would become a crowded cache's whole work.
-        if self.most < 1.0 || crowded == Some(true) {
-            let rests = (1.0 / self.most - 1.0).max(if latency < service { 1.0 } else { 0.0 });
-            self.rest_until = now + service.scaled(rests);
+        if self.most < 1.0 {
+            self.rest_until = now + service.scaled(1.0 / self.most - 1.0);
         }
     }
 }
