--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,8 +39,6 @@
 const MAX_KEYS: usize = 4096;
 /// How long usage and rates are remembered: a few learning steps, many API calls.
 const USAGE_MEMORY: Span = Span::from_millis(3000);
-/// A node's own usage figure counts as the mean until it rests on more than this many shots.
-const USAGE_PRIOR: f64 = 4.0;
 
 // Around it.
 /// Outcomes that judge a cache's health, and how many of them must be successes.
@@ -64,8 +62,6 @@
 const COME_BACK: f64 = 4.0;
 /// A cache silent for this share of an SLO since a shot was sent is held to hang.
 const SILENCE_SHARE: f64 = 0.5;
-/// A call over its tenant's quota uses only this share of a limit.
-const OVER_QUOTA_SHARE: f64 = 0.5;
 /// A tenant's unused quota is kept for this long.
 const QUOTA_MEMORY_S: f64 = 1.0;
 /// Reports older than this many check periods say nothing of the present.
@@ -96,7 +92,6 @@
     limit: Limit,
     last_heard: Time,
     usage: FadingLevel,
-    shots: FadingSum,
     /// Work sent within the fall window.
     burst: FadingSum,
     push: f64,
@@ -134,7 +129,6 @@
     slo_end: Time,
     end: Time,
     patience_end: Time,
-    over_quota: bool,
     shots: Vec<Sent>,
     /// The first shot that may have run.
     may_have_run: Option<usize>,
@@ -240,15 +234,13 @@
         self.heard(now);
         let wait = self.reask.map_or(FIRST_REASK, |(_, wait)| Span(wait.0 * 2));
         let wait = wait.min(self.settings.must_ask_in.scaled(0.25)).max(FIRST_REASK);
-        let jitter = 0.5 + self.chance();
-        self.reask = Some((now + wait.scaled(jitter), wait));
+        self.reask = Some((now + wait.scaled(0.5 + self.chance()), wait));
     }
 
     pub fn api_call(&mut self, now: Time, id: ApiCallId, call: ApiCall) {
         self.heard(now);
         let Some(product) = self.settings.products.get(call.product.0 as usize) else {
-            self.answers.push_back((id, Answer::Errored));
-            return;
+            return self.answers.push_back((id, Answer::Errored));
         };
         let slo = product.slo.min(call.budget);
         let mut value = product.billed_value;
@@ -257,8 +249,7 @@
         }
         let over_quota = !self.within_quota(now, call.tenant);
         self.calls_seen += 1;
-        let first = if over_quota { 1u64 << 63 } else { 0 };
-        let rank = (first | (u64::MAX / 2 - value.to_bits() / 2), self.calls_seen);
+        let rank = ((u64::from(over_quota) << 63) | (u64::MAX / 2 - value.to_bits() / 2), self.calls_seen);
         let patience = if over_quota { Span::ZERO } else { slo.scaled(PATIENCE) };
         let open = Open {
             call,
@@ -267,7 +258,6 @@
             slo_end: now + slo,
             end: now + call.budget,
             patience_end: now + patience,
-            over_quota,
             shots: Vec::new(),
             may_have_run: None,
             passed: Vec::new(),
@@ -353,10 +343,7 @@
         if !self.settings.may_check || !self.settings.reports_need_checks {
             return None;
         }
-        let due = |c: &&mut Cache| {
-            let old = c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
-            old && c.serves()
-        };
+        let due = |c: &&mut Cache| c.serves() && c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
         let cache = self.caches.values_mut().find(due)?;
         cache.checked = Some(now);
         Some(cache.listing.cache)
@@ -404,9 +391,8 @@
             self.give_up(id);
             return None;
         }
-        let key = open.call.key;
-        let reading = !open.call.write;
-        if reading && self.fetching.get(&key).is_some_and(|f| *f != id) {
+        let joins = |f: &ApiCallId| *f != id && !open.call.write;
+        if self.fetching.get(&open.call.key).is_some_and(joins) {
             let (rank, open) = (open.rank, self.open.get_mut(&id)?);
             open.joined = true;
             self.ready.remove(&rank);
@@ -415,14 +401,10 @@
             return None;
         }
         let target = if reads_here { self.best_candidate(now, id) } else { self.best_origin(now, id) };
-        let Some(cache) = target else {
-            let open = self.open.get(&id)?;
-            if now >= open.patience_end && open.shots.is_empty() {
-                self.give_up(id);
-            }
-            return None;
-        };
-        Some(self.send(now, id, cache))
+        if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
+            self.give_up(id);
+        }
+        Some(self.send(now, id, target?))
     }
 
     /// A key's candidates that the list holds, the highest weight first.
@@ -441,36 +423,33 @@
         let open = &self.open[&id];
         let key = open.call.key;
         let ranked = self.ranked(key);
-        let free = |c: &&(CacheId, f64)| self.may_send(now, id, c.0) && self.has_room(now, id, c.0);
+        let free = |c: CacheId| self.may_send(now, id, c) && self.has_room(now, id, c);
         // A cold cache takes over its keys one by one as it warms, the same ones at every node; where all
         // candidates are cold, the budget alone holds.
-        let taken_over = |c: &&(CacheId, f64)| unit(hash_of((key, c.0, "warm"))) < self.warmth(now, c.0);
-        let warm = ranked.iter().filter(taken_over).find(free);
-        if warm.is_some() || ranked.iter().any(|c| taken_over(&c)) {
-            return warm.map(|c| c.0);
-        }
-        ranked.iter().find(free).map(|c| c.0)
+        let taken_over = |c: CacheId| unit(hash_of((key, c, "warm"))) < self.warmth(now, c);
+        let some_warm = ranked.iter().any(|c| taken_over(c.0));
+        ranked.into_iter().map(|c| c.0).find(|c| (taken_over(*c) || !some_warm) && free(*c))
     }
 
     fn best_origin(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
-        let origins = self.caches.keys().copied().filter(|c| self.is_origin(*c));
-        origins.into_iter().find(|c| self.may_send(now, id, *c) && self.has_room(now, id, *c))
+        let may = |c: &&Cache| {
+            let cache = c.listing.cache;
+            c.is_origin && self.may_send(now, id, cache) && self.has_room(now, id, cache)
+        };
+        self.caches.values().find(may).map(|c| c.listing.cache)
     }
 
     /// Whether health and the in-flight limit leave room at this cache.
     fn has_room(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let open = &self.open[&id];
         let Some(c) = self.caches.get(&cache) else { return false };
-        if open.passed.contains(&cache) {
+        // Only what may run again is risked on a cache that fails.
+        let tried = |at| at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
+        if open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at)) {
             return false;
         }
-        if let Some((at, _)) = c.trial {
-            // Only what may run again is risked on a cache that fails.
-            return at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
-        }
-        let share = if open.over_quota { OVER_QUOTA_SHARE } else { 1.0 };
-        let fetch_fits = self.fetches.has_room(now, share) || !self.likely_fetch(&open.call, cache);
-        fetch_fits && c.limit.has_room(now, share)
+        let fetch_fits = self.fetches.has_room(now) || !self.likely_fetch(&open.call, cache);
+        fetch_fits && c.limit.has_room(now)
     }
 
     /// Whether a through cache will have to ask the origin, as far as this node can tell.
@@ -573,7 +552,6 @@
         c.limit.in_flight += 1;
         self.fetches.in_flight += u32::from(fetch);
         c.usage.step_by(now, 1.0);
-        c.shots.add(now, 1.0);
         c.burst.add(now, work);
         if let Some((_, wait)) = c.trial {
             c.trial = Some((now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
@@ -613,7 +591,6 @@
         let Some(open) = self.open.remove(&id) else { return };
         self.ready.remove(&open.rank);
         self.alarms.remove(&(open.end, id));
-        self.alarms.remove(&(open.slo_end, id));
     }
 
     /// Lets the calls go on that waited for this call's fetch.
@@ -724,11 +701,8 @@
         let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
         for (id, usage) in usages {
             let cache = self.caches.get_mut(&id).expect("listed above");
-            let rested = cache.shots.read(now);
-            let trust = if reports { 1.0 } else { rested / (rested + USAGE_PRIOR) };
             let relative = if mean > 0.0 { usage.map_or(1.0, |u| u / mean) } else { 1.0 };
-            let usage = 1.0 + (relative - 1.0) * trust;
-            cache.push = PUSH * (1.0 - usage) + PUSH_KEPT * cache.push;
+            cache.push = PUSH * (1.0 - relative) + PUSH_KEPT * cache.push;
         }
         let psi = |b: f64| (1.0 - (-PUSH_STEEPNESS * b).exp()) / (1.0 + (-PUSH_STEEPNESS * b).exp());
         for weights in self.keys.values_mut() {
@@ -888,8 +862,7 @@
     }
 
     fn note_report(&mut self, now: Time, cache: CacheId, load: &[f32]) {
-        let column = self.settings.utilisation_column;
-        let Some(&value) = column.and_then(|n| load.get(n)) else { return };
+        let Some(&value) = self.settings.utilisation_column.and_then(|n| load.get(n)) else { return };
         if let Some(c) = self.caches.get_mut(&cache).filter(|_| value.is_finite()) {
             c.report = Some((now, f64::from(value).clamp(0.0, 1e3)));
         }
@@ -942,8 +915,8 @@
         Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now, rest_until: now }
     }
 
-    fn has_room(&self, now: Time, share: f64) -> bool {
-        now >= self.rest_until && f64::from(self.in_flight) < (self.most * share).max(1.0)
+    fn has_room(&self, now: Time) -> bool {
+        now >= self.rest_until && f64::from(self.in_flight) < self.most.max(1.0)
     }
 
     /// One of those in flight ended after `latency`, having met a crowd, none, or neither. `service` is
@@ -982,7 +955,6 @@
             limit: Limit::new(settings.nodes, now),
             last_heard: now,
             usage: FadingLevel::new(USAGE_MEMORY, now),
-            shots: FadingSum::new(USAGE_MEMORY, now),
             burst: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             push: 0.0,
             report: None,
