--- a/src/brain.rs
+++ b/src/brain.rs
@@ -785,7 +785,9 @@
         let fetch_failed = self.fetch_failed(now, sent, outcome, latency);
         let slo = self.product(sent.product).slo;
         let service = Span::from_secs_f64(self.latency(now, sent.product, origin) * (0.5 + chance));
-        let slow = latency > slo.scaled(SLOW_SHARE);
+        // A cache's queue serves all products: it must be short enough for the one with the least time.
+        let tightest = self.settings.products.iter().map(|p| p.slo).min().unwrap_or(slo);
+        let slow = latency > if origin { slo } else { tightest }.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
                 Outcome::Fulfilled | Outcome::Fetched => Some(slow),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -362,6 +362,7 @@
 #[test_case(scenario!("learning"); "learning")]
 #[test_case(scenario!("reports"); "reports")]
 #[test_case(scenario!("stale"); "stale")]
+#[test_case(scenario!("tightest"); "tightest")]
 #[test_case(scenario!("through"); "through")]
 #[test_case(scenario!("tenants"); "tenants")]
 #[test_case(scenario!("list"); "list")]
