--- a/src/brain.rs
+++ b/src/brain.rs
@@ -295,7 +295,7 @@
         if !origin && !matches!(outcome, Outcome::Full | Outcome::Moot) {
             open.passed.push(cache);
         }
-        if origin && !open.call.write {
+        if !open.call.write {
             self.release_joined(id);
         }
         if answered {
@@ -545,7 +545,7 @@
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
         self.ready.remove(&open.rank);
-        if origin && !open.call.write {
+        if (origin || fetch) && !open.call.write {
             self.fetching.insert(open.call.key, id);
         }
         let c = self.caches.get_mut(&cache).expect("candidates are listed");
