--- a/src/brain.rs
+++ b/src/brain.rs
@@ -790,7 +790,9 @@
         let slow = latency > if origin { slo } else { tightest }.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
-                Outcome::Fulfilled | Outcome::Fetched => Some(slow),
+                // A hit after all says nothing of the origin.
+                Outcome::Fulfilled => None,
+                Outcome::Fetched => Some(slow),
                 Outcome::Errored => Some(true),
                 Outcome::TimedOut => Some(slow),
                 _ => None,
@@ -804,8 +806,7 @@
                 _ => {}
             }
         }
-        // What came too late does not count: it would make every call look hopeless, and so stay unlearnt.
-        // Nor does a fetch: one slow origin must not do that either.
+        // What came too late, or by a fetch, does not count: it would make every call look hopeless.
         if outcome == Outcome::Fulfilled && latency <= slo {
             let mean = &mut self.latencies[sent.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
