--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -226,12 +226,13 @@
         self.brain().shot_ended(now, ApiCallId(id as u64), &end, &load);
     }
 
-    /// Calls for many keys, one at a time, each ended as said.
+    /// Calls for many keys, one at a time, each ended as said; one at the cache to `hold` only with the next there.
     fn load(&mut self, words: &[&str]) {
         let (calls, every) = (number(words, "calls", 0.0) as u64, number(words, "every", 10.0));
         let keys = number(words, "keys", 100.0) as u64;
         let reports: Vec<_> =
             option(words, "reports").unwrap_or("").split(',').filter_map(|r| r.split_once(':')).collect();
+        let mut held: Option<String> = None;
         for n in 0..calls {
             for (cache, load) in reports.iter().filter(|_| n % 50 == 0) {
                 let (cache, now) = (self.cache(cache), Time(self.now));
@@ -242,11 +243,17 @@
             self.pull();
             let id = self.call(&name);
             self.now += span(every).0;
-            if self.shots.contains_key(&id) {
+            let Some(shots) = self.shots.get(&id) else { continue };
+            let holds = option(words, "hold").is_some_and(|c| self.caches[shots[0].0 as usize] == c);
+            let due = if holds { held.replace(name) } else { Some(name) };
+            if let Some(name) = due {
                 self.end(&name, &words[1..]);
                 self.pull();
             }
         }
+        if let Some(name) = held {
+            self.end(&name, &words[1..]);
+        }
         self.decided.clear();
     }
 
@@ -362,6 +369,8 @@
 #[test_case(scenario!("learning"); "learning")]
 #[test_case(scenario!("reports"); "reports")]
 #[test_case(scenario!("stale"); "stale")]
+#[test_case(scenario!("hopeless"); "hopeless")]
+#[test_case(scenario!("fetches"); "fetches")]
 #[test_case(scenario!("tightest"); "tightest")]
 #[test_case(scenario!("through"); "through")]
 #[test_case(scenario!("tenants"); "tenants")]
