--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -364,6 +364,7 @@
 #[test_case(scenario!("effects"); "effects")]
 #[test_case(scenario!("drains"); "drains")]
 #[test_case(scenario!("cold"); "cold")]
+#[test_case(scenario!("restart"); "restart")]
 #[test_case(scenario!("joined"); "joined")]
 #[test_case(scenario!("hang"); "hang")]
 #[test_case(scenario!("learning"); "learning")]
