Tidy the module: state each thing once, nothing worked out twice

What a first risky shot is, whether a cache is free, and whether checks are due now each stand in one place. A failed fetch is worked out once for each shot's end, the push's function once for each cache and not for each weight, and work only where a cold budget needs it. Bare figures have names.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -135,9 +135,7 @@
 impl Instance {
     fn decide(&mut self, node: u16, now: Time, reply: &mut Reply) {
         let brain = &mut self.brain;
-        while let Some((id, number)) = brain.next_recall() {
-            reply.push(11, node, &[&id.0.to_be_bytes(), &[number.0]]);
-        }
+        recall(brain, node, reply);
         while let Some(shot) = brain.next_shot(now) {
             let id = shot.api_call.0.to_be_bytes();
             reply.push(2, node, &[&id, &cache_bytes(shot.cache), &span_bytes(shot.give_up_after)]);
@@ -150,9 +148,8 @@
                 Answer::Errored => reply.push(10, node, &[&id.0.to_be_bytes()]),
             }
         }
-        while let Some((id, number)) = brain.next_recall() {
-            reply.push(11, node, &[&id.0.to_be_bytes(), &[number.0]]);
-        }
+        // What the answers left behind.
+        recall(brain, node, reply);
         while let Some(cache) = brain.next_check(now) {
             reply.push(1, node, &[&cache_bytes(cache)]);
         }
@@ -166,6 +163,12 @@
     }
 }
 
+fn recall(brain: &mut Brain, node: u16, reply: &mut Reply) {
+    while let Some((id, number)) = brain.next_recall() {
+        reply.push(11, node, &[&id.0.to_be_bytes(), &[number.0]]);
+    }
+}
+
 fn listing(entry: Record<'_>) -> Listing {
     let started = entry.u64(15);
     Listing {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,12 +37,15 @@
 const LEARNING_STEP: Span = Span::from_millis(250);
 /// Keys with stored weights; past it the half that was asked for longest ago goes.
 const MAX_KEYS: usize = 4096;
-/// How long usage and rates are remembered: a few learning steps, many API calls.
+/// How long usage is remembered: a few learning steps, many API calls.
 const USAGE_MEMORY: Span = Span::from_millis(3000);
+/// How long a key's share and answer times are remembered: they move more slowly than usage.
+const RATE_MEMORY: Span = Span::from_millis(12_000);
 
 // Around it.
-/// Outcomes that judge a cache's health, and how many of them must be successes.
+/// Outcomes that judge a cache's health, how many it takes, and how many must be successes.
 const OUTCOMES_KEPT: usize = 5;
+const OUTCOMES_NEEDED: usize = 3;
 const SUCCESSES_NEEDED: usize = 2;
 /// First wait before a failing cache is tried again, doubled up to the last.
 const FIRST_TRIAL: Span = Span::from_millis(1000);
@@ -64,13 +67,15 @@
 const SILENCE_SHARE: f64 = 0.5;
 /// A tenant's unused quota is kept for this long.
 const QUOTA_MEMORY_S: f64 = 1.0;
-/// Reports older than this many check periods say nothing of the present.
 const CHECK_EVERY: Span = Span::from_millis(1000);
+/// Reports older than a few check periods say nothing of the present.
 const REPORT_LASTS: Span = Span::from_millis(3000);
 /// How often waiting calls are looked at when nothing happens.
 const RECHECK: Span = Span::from_millis(20);
 /// A refused or unanswered watch is asked for again after this, growing, with jitter.
 const FIRST_REASK: Span = Span::from_millis(500);
+/// Asking waits at most this share of the time after which a node counts as not asking.
+const REASK_SHARE: f64 = 0.25;
 
 /// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one
 /// it is the share of the time that a shot may be out: with a floor of one, many nodes together would keep
@@ -137,6 +142,17 @@
     lacking: bool,
 }
 
+impl Open {
+    fn first_out(&self) -> Option<usize> {
+        self.shots.iter().position(|s| s.out)
+    }
+
+    /// The first shot that may have run, or yet may.
+    fn first_risky(&self) -> Option<usize> {
+        [self.may_have_run, self.first_out()].into_iter().flatten().min()
+    }
+}
+
 pub struct Brain {
     settings: Settings,
     seed: u64,
@@ -183,16 +199,12 @@
 /// Interface.
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
-        let memory = USAGE_MEMORY.scaled(4.0);
-        let latencies = |p: &Product| [FadingMean::new(memory, now, p.slo.as_secs_f64() / 8.0); 2];
+        let latencies = |p: &Product| [FadingMean::new(RATE_MEMORY, now, p.slo.as_secs_f64() / 8.0); 2];
+        let quota = |per_s: &f64| (per_s / settings.nodes * QUOTA_MEMORY_S, now);
         let carried = FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0);
         Brain {
             latencies: settings.products.iter().map(latencies).collect(),
-            quotas: settings
-                .quotas_per_s
-                .iter()
-                .map(|q| (q / settings.nodes * QUOTA_MEMORY_S, now))
-                .collect(),
+            quotas: settings.quotas_per_s.iter().map(quota).collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
             fetches: Limit::new(settings.nodes, now),
             settings,
@@ -202,7 +214,7 @@
             table: Vec::new(),
             table_version: 0,
             keys: HashMap::new(),
-            asked: FadingSum::new(memory, now),
+            asked: FadingSum::new(RATE_MEMORY, now),
             learned: now,
             open: HashMap::new(),
             ready: BTreeMap::new(),
@@ -233,7 +245,7 @@
     pub fn list_failed(&mut self, now: Time) {
         self.heard(now);
         let wait = self.reask.map_or(FIRST_REASK, |(_, wait)| Span(wait.0 * 2));
-        let wait = wait.min(self.settings.must_ask_in.scaled(0.25)).max(FIRST_REASK);
+        let wait = wait.min(self.settings.must_ask_in.scaled(REASK_SHARE)).max(FIRST_REASK);
         self.reask = Some((now + wait.scaled(0.5 + self.chance()), wait));
     }
 
@@ -281,9 +293,9 @@
         let ShotEnd { number, cache, outcome, latency, answered } = *end;
         self.note_report(now, cache, load);
         let Some(sent) = self.out.remove(&(id, number)).filter(|s| s.cache == cache) else { return };
-        self.judge(now, &sent, outcome, latency);
-        let origin = self.is_origin(cache);
         let fetch_failed = self.fetch_failed(now, &sent, outcome, latency);
+        self.judge(now, &sent, outcome, latency, fetch_failed);
+        let origin = self.is_origin(cache);
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(shot) = open.shots.get_mut(number.0 as usize) {
             shot.out = false;
@@ -303,7 +315,7 @@
         } else if fetch_failed {
             // Another cache would only ask the origin, which is in trouble, once more.
             self.give_up(id);
-        } else if self.open.get(&id).is_some_and(|o| o.shots.iter().all(|s| !s.out)) {
+        } else if self.open.get(&id).is_some_and(|o| o.first_out().is_none()) {
             self.set_waiting(id);
         }
     }
@@ -340,7 +352,7 @@
 
     /// The next cache to check on.
     pub fn next_check(&mut self, now: Time) -> Option<CacheId> {
-        if !self.settings.may_check || !self.settings.reports_need_checks {
+        if !self.checks() {
             return None;
         }
         let due = |c: &&mut Cache| c.serves() && c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
@@ -352,8 +364,7 @@
     /// Whether to ask for a watch on the list now.
     pub fn wants_watch(&mut self, now: Time) -> bool {
         let Some((_, wait)) = self.reask.filter(|(at, _)| *at <= now) else { return false };
-        // An unanswered call is repeated well before the node counts as not asking.
-        self.reask = Some((now + self.settings.must_ask_in.scaled(0.25).max(wait), wait));
+        self.reask = Some((now + self.settings.must_ask_in.scaled(REASK_SHARE).max(wait), wait));
         true
     }
 
@@ -367,9 +378,9 @@
         if let Some((at, _)) = self.reask {
             sooner(at);
         }
-        if self.settings.may_check && self.settings.reports_need_checks {
-            let checked = self.caches.values().filter(|c| c.listing.ready).filter_map(|c| c.checked).min();
-            sooner(checked.map_or(now, |at| at) + CHECK_EVERY);
+        if self.checks() {
+            let checked = self.caches.values().filter(|c| c.serves()).filter_map(|c| c.checked).min();
+            sooner(checked.unwrap_or(now) + CHECK_EVERY);
         }
         wake.map(|w| w.max(now))
     }
@@ -380,8 +391,8 @@
     /// The shot for a call that waits, if one can be sent; else it may be given up or go on waiting.
     fn place(&mut self, now: Time, id: ApiCallId) -> Option<Shot> {
         let open = self.open.get(&id)?;
-        let reads_here = !(self.settings.mode != Mode::Through && (open.call.write || open.lacking));
-        let typical = self.latency(now, open.call.product, !reads_here);
+        let asks_origin = self.settings.mode != Mode::Through && (open.call.write || open.lacking);
+        let typical = self.latency(now, open.call.product, asks_origin);
         let hopeless = now + Span::from_secs_f64(typical) > open.slo_end;
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
         let possible =
@@ -400,7 +411,7 @@
             self.alarms.insert((open.slo_end, id));
             return None;
         }
-        let target = if reads_here { self.best_candidate(now, id) } else { self.best_origin(now, id) };
+        let target = if asks_origin { self.best_origin(now, id) } else { self.best_candidate(now, id) };
         if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
             self.give_up(id);
         }
@@ -420,23 +431,22 @@
 
     /// The candidate of highest weight that may be sent to.
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
-        let open = &self.open[&id];
-        let key = open.call.key;
-        let ranked = self.ranked(key);
-        let free = |c: CacheId| self.may_send(now, id, c) && self.has_room(now, id, c);
+        let key = self.open[&id].call.key;
         // A cold cache takes over its keys one by one as it warms, the same ones at every node; where all
         // candidates are cold, the budget alone holds.
-        let taken_over = |c: CacheId| unit(hash_of((key, c, "warm"))) < self.warmth(now, c);
-        let some_warm = ranked.iter().any(|c| taken_over(c.0));
-        ranked.into_iter().map(|c| c.0).find(|c| (taken_over(*c) || !some_warm) && free(*c))
+        let taken_over = |c: &CacheId| unit(hash_of((key, c, "warm"))) < self.warmth(now, *c);
+        let (taken, cold): (Vec<_>, Vec<_>) = self.ranked(key).into_iter().map(|c| c.0).partition(taken_over);
+        let pool = if taken.is_empty() { cold } else { taken };
+        pool.into_iter().find(|c| self.is_free(now, id, *c))
     }
 
     fn best_origin(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
-        let may = |c: &&Cache| {
-            let cache = c.listing.cache;
-            c.is_origin && self.may_send(now, id, cache) && self.has_room(now, id, cache)
-        };
-        self.caches.values().find(may).map(|c| c.listing.cache)
+        let mut origins = self.caches.values().filter(|c| c.is_origin).map(|c| c.listing.cache);
+        origins.find(|c| self.is_free(now, id, *c))
+    }
+
+    fn is_free(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
+        self.may_send(now, id, cache) && self.has_room(now, id, cache)
     }
 
     /// Whether health and the in-flight limit leave room at this cache.
@@ -445,11 +455,9 @@
         let Some(c) = self.caches.get(&cache) else { return false };
         // Only what may run again is risked on a cache that fails.
         let tried = |at| at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
-        if open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at)) {
-            return false;
-        }
-        let fetch_fits = self.fetches.has_room(now) || !self.likely_fetch(&open.call, cache);
-        fetch_fits && c.limit.has_room(now)
+        let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
+        let fetch_fits = || self.fetches.has_room(now) || !self.likely_fetch(&open.call, cache);
+        !barred && c.limit.has_room(now) && fetch_fits()
     }
 
     /// Whether a through cache will have to ask the origin, as far as this node can tell.
@@ -479,23 +487,19 @@
             return false;
         }
         // Rule 2: no effect twice, and no two shots out where the site forbids it.
-        let out = open.shots.iter().any(|s| s.out);
-        if out && !self.settings.second_copies {
+        if open.first_out().is_some() && !self.settings.second_copies {
             return false;
         }
         if !self.may_repeat(now, open, &c.listing) {
             return false;
         }
         // Rule 4: the node's part of what a cold cache stands.
-        let work = self.work_of(now, &open.call);
-        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, cache, work)
+        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, c, &open.call)
     }
 
     /// Whether an effect is safe from happening twice if the call goes to this cache too.
     fn may_repeat(&self, now: Time, open: &Open, listing: &Listing) -> bool {
-        let first_out = open.shots.iter().position(|s| s.out);
-        let Some(first) = [open.may_have_run, first_out].into_iter().flatten().min() else { return true };
-        let first = open.shots[first];
+        let Some(first) = open.first_risky().map(|n| open.shots[n]) else { return true };
         match self.effect(open) {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
@@ -516,11 +520,11 @@
     /// and size, of what the caches got from this node of late. All nodes together stay near the cache's
     /// part of the load, and so far under the multiple of its capacity. One call in a while always fits,
     /// or a fleet that is cold throughout would never be found out to work.
-    fn cold_budget(&self, now: Time, cache: CacheId, work: f64) -> f64 {
-        let size = self.caches.get(&cache).map_or(0.0, |c| self.size_of(&c.listing));
+    fn cold_budget(&self, now: Time, cache: &Cache, call: &ApiCall) -> f64 {
+        let warm_size = self.size_of(&cache.listing) * self.warmth(now, cache.listing.cache);
         // Twice the part may come together by chance; where even that would topple it, it gets less.
         let part = (self.settings.fall_multiple * 0.5).min(1.0);
-        (self.carried.read(now) * size * self.warmth(now, cache) * part).max(work * 0.5)
+        (self.carried.read(now) * warm_size * part).max(self.work_of(now, call) * 0.5)
     }
 
     /// What each unit of warm size got from this node within the fall window, as the caches now stand.
@@ -568,7 +572,7 @@
         let slo = self.product(open.call.product).slo;
         let harmless = match self.effect(open) {
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
-            _ => open.may_have_run.is_none() && open.shots.iter().all(|s| !s.out),
+            _ => open.first_risky().is_none(),
         };
         let come_back = slo.scaled(COME_BACK).min(self.settings.max_come_back);
         let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
@@ -705,11 +709,10 @@
             cache.push = PUSH * (1.0 - relative) + PUSH_KEPT * cache.push;
         }
         let psi = |b: f64| (1.0 - (-PUSH_STEEPNESS * b).exp()) / (1.0 + (-PUSH_STEEPNESS * b).exp());
-        for weights in self.keys.values_mut() {
-            for (id, w) in weights.slots.iter_mut().flatten() {
-                let b = self.caches.get(id).map_or(0.0, |c| c.push);
-                *w += if b >= 0.0 { psi(b) * (PUSH_TARGET - *w) } else { psi(b) * *w };
-            }
+        let pushes: BTreeMap<CacheId, f64> = self.caches.iter().map(|(id, c)| (*id, psi(c.push))).collect();
+        for (id, w) in self.keys.values_mut().flat_map(|k| k.slots.iter_mut().flatten()) {
+            let push = pushes.get(id).copied().unwrap_or(0.0);
+            *w += push * if push >= 0.0 { PUSH_TARGET - *w } else { *w };
         }
     }
 
@@ -722,11 +725,10 @@
         let fresh = self.start_weights(call.key);
         let total = self.asked.read(now).max(1.0);
         let version = self.table_version;
-        let memory = USAGE_MEMORY.scaled(4.0);
         let weights = self.keys.entry(call.key).or_insert_with(|| KeyWeights {
             table: version,
             slots: fresh,
-            asked: FadingSum::new(memory, now),
+            asked: FadingSum::new(RATE_MEMORY, now),
             last_asked: now,
             held_by: None,
         });
@@ -777,12 +779,11 @@
     }
 
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
-    fn judge(&mut self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) {
+    fn judge(&mut self, now: Time, sent: &Sent, outcome: Outcome, latency: Span, fetch_failed: bool) {
         let origin = self.is_origin(sent.cache);
         let chance = self.chance();
         // Every answer of the origin's own is a fetch.
         let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
-        let fetch_failed = self.fetch_failed(now, sent, outcome, latency);
         let slo = self.product(sent.product).slo;
         let service = Span::from_secs_f64(self.latency(now, sent.product, origin) * (0.5 + chance));
         // A cache's queue serves all products: it must be short enough for the one with the least time.
@@ -790,11 +791,9 @@
         let slow = latency > if origin { slo } else { tightest }.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
-                // A hit after all says nothing of the origin.
-                Outcome::Fulfilled => None,
-                Outcome::Fetched => Some(slow),
+                Outcome::Fetched | Outcome::TimedOut => Some(slow),
                 Outcome::Errored => Some(true),
-                Outcome::TimedOut => Some(slow),
+                // A hit after all, for one, says nothing of the origin.
                 _ => None,
             };
             self.fetches.learn(now, latency, crowded, service);
@@ -845,7 +844,7 @@
             c.outcomes.pop_front();
         }
         let good = c.outcomes.iter().filter(|o| **o).count();
-        let failing = c.outcomes.len() >= OUTCOMES_KEPT.min(3) && good < SUCCESSES_NEEDED;
+        let failing = c.outcomes.len() >= OUTCOMES_NEEDED && good < SUCCESSES_NEEDED;
         match c.trial {
             _ if origin => {}
             Some(_) if healthy => {
@@ -907,6 +906,11 @@
         self.caches.get(&cache).is_some_and(|c| c.is_origin)
     }
 
+    /// Whether load reports have to be fetched by checks.
+    fn checks(&self) -> bool {
+        self.settings.may_check && self.settings.reports_need_checks
+    }
+
     fn chance(&mut self) -> f64 {
         self.chances += 1;
         unit(hash_of((self.seed, self.chances)))
--- a/src/decay.rs
+++ b/src/decay.rs
@@ -23,11 +23,6 @@
     pub fn read(&self, now: Time) -> f64 {
         self.sum * fade(now - self.at, self.memory)
     }
-
-    /// What the sum amounts to each second.
-    pub fn rate(&self, now: Time) -> f64 {
-        self.read(now) / self.memory.as_secs_f64()
-    }
 }
 
 /// The average over time of a level that moves in steps, such as a count of what is in flight.
