--- a/crates/adapter/src/frame.rs
+++ b/crates/adapter/src/frame.rs
@@ -123,11 +123,6 @@
     pub fn cache(self, at: usize) -> CacheId {
         CacheId(u64::from(self.u32(at)) << 16 | u64::from(self.u16(at + 4)))
     }
-
-    /// A load report: a count and as many of the four values.
-    pub fn load(self, at: usize) -> Vec<f32> {
-        (0..usize::from(self.u8(at)).min(4)).map(|n| self.f32(at + 1 + 4 * n)).collect()
-    }
 }
 
 /// A reply as it grows.
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -95,7 +95,6 @@
                     _ => brain.caches_listed(now, listings, scope == 1),
                 }
             }
-            4 => brain.cache_checked(now, record.cache(4), &record.load(15)),
             5 => brain.client_left(now, ApiCallId(record.u64(4))),
             6 => {
                 let Some(outcome) = outcome(record.u8(19), record.u8(25)) else {
@@ -112,7 +111,7 @@
                     latency: Span(u64::from(record.u32(20))),
                     answered: record.u8(24) != 0,
                 };
-                brain.shot_ended(now, ApiCallId(record.u64(4)), &end, &record.load(26));
+                brain.shot_ended(now, ApiCallId(record.u64(4)), &end);
             }
             9 => {
                 let flags = record.u8(38);
@@ -150,9 +149,6 @@
         }
         // What the answers left behind.
         recall(brain, node, reply);
-        while let Some(cache) = brain.next_check(now) {
-            reply.push(1, node, &[&cache_bytes(cache)]);
-        }
         if brain.wants_watch(now) {
             reply.push(12, node, &[&[1]]);
         }
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -13,8 +13,6 @@
     bounds: Bounds,
     #[serde(default)]
     discovery: String,
-    #[serde(default)]
-    load_info: LoadInfo,
     products: Vec<ProductParams>,
     rules: Rules,
     #[serde(default = "one")]
@@ -32,7 +30,6 @@
 struct Bounds {
     max_retry_after_us: u64,
     may_cancel: bool,
-    may_probe: bool,
     most_shots: u8,
     retry_after: bool,
     second_copies: bool,
@@ -44,7 +41,6 @@
         Bounds {
             max_retry_after_us: 0,
             may_cancel: false,
-            may_probe: false,
             most_shots: 1,
             retry_after: false,
             second_copies: false,
@@ -52,13 +48,6 @@
     }
 }
 
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct LoadInfo {
-    columns: Vec<String>,
-    how: String,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct ProductParams {
@@ -127,11 +116,9 @@
         max_shots: bounds.most_shots,
         second_copies: bounds.second_copies,
         may_recall: bounds.may_cancel,
-        may_check: bounds.may_probe,
         max_come_back: Span(if bounds.retry_after { bounds.max_retry_after_us } else { 0 }),
         value_by_work: params.billed_value_per == "work",
-        utilisation_column: params.load_info.columns.iter().position(|c| c == "utilization"),
-        reports_need_checks: params.load_info.how == "pull",
+        live_sizes: params.weight_kind == "live",
         steady_sizes: matches!(params.weight_kind.as_str(), "nominal" | "rough"),
     })
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,10 +1,9 @@
 //! All decisions of one node. How to call it: make a [`Brain`] from the settings; tell it what happens
-//! (`caches_listed`, `list_failed`, `api_call`, `client_left`, `shot_ended`, `cache_checked`: they only
-//! update what is known); then pull `next_shot`, `next_answer`, `next_recall`, `next_check` and
-//! `wants_watch` until none is left, and call again by `next_wake`. The interface is the block
-//! `impl Brain` headed "Interface". The ordinary path is `ranked`: highest learned weight among a key's
-//! three candidates. Rules are kept in `may_send`, which every shot passes, and `answer`, which every
-//! final answer of ours passes. Where this leaves its design: `docs/design.md`.
+//! (`caches_listed`, `list_failed`, `api_call`, `client_left`, `shot_ended`: they only update what is known);
+//! then pull `next_shot`, `next_answer`, `next_recall` and `wants_watch` until none is left, and call again by
+//! `next_wake`. The interface is the block `impl Brain` headed "Interface". The ordinary path is `ranked`: the
+//! highest learned weight among a key's three candidates. Rules are kept in `may_send`, which every shot
+//! passes, and `answer`, which every final answer passes. Where this leaves its design: `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -12,7 +11,7 @@
 
 use crate::calls::{Answer, ApiCall, Listing, Outcome, Shot, ShotEnd};
 use crate::decay::{FadingLevel, FadingMean, FadingSum};
-use crate::ids::{ApiCallId, CacheId, Key, ProductId, ShotNumber, TenantId};
+use crate::ids::{ApiCallId, CacheId, Key, KindId, ProductId, ShotNumber, TenantId};
 use crate::settings::{DedupScope, Effect, Mode, Product, Settings};
 use crate::units::{Span, Time};
 
@@ -21,8 +20,7 @@
 const CANDIDATES: usize = 3;
 /// Enough that one slot holds about a thousandth of the keys.
 const SLOTS: u64 = 1024;
-/// Starting weights by place, each raised by up to `START_SPREAD` by the key's hash, so that a push
-/// moves a cache's keys one after another and not all at once.
+/// Starting weights by place, raised by up to `START_SPREAD` by the key's hash: a push moves keys one by one.
 const START: [f64; CANDIDATES] = [0.6, 0.4, 0.2];
 const START_SPREAD: f64 = 0.3;
 /// The pull's rate η and the width λe^(−f) + β of its neighbourhood.
@@ -34,19 +32,23 @@
 const PUSH_KEPT: f64 = 0.5;
 const PUSH_STEEPNESS: f64 = 1.0;
 const PUSH_TARGET: f64 = 0.9;
+/// A cache's part of its keys is cut so at a step while its listed load means a late answer, and grows else.
+const PART_CUT: f64 = 0.9;
+const PART_GROWS: f64 = 0.025;
 const LEARNING_STEP: Span = Span::from_millis(250);
 /// Keys with stored weights; past it the half that was asked for longest ago goes.
 const MAX_KEYS: usize = 4096;
+/// A key's count is taken to be this many standard deviations lower, lest chance make it look heavy.
+const SURE: f64 = 1.5;
 /// How long usage is remembered: a few learning steps, many API calls.
 const USAGE_MEMORY: Span = Span::from_millis(3000);
 /// How long a key's share and answer times are remembered: they move more slowly than usage.
 const RATE_MEMORY: Span = Span::from_millis(12_000);
 
 // Around it.
-/// Outcomes that judge a cache's health, how many it takes, and how many must be successes.
-const OUTCOMES_KEPT: usize = 5;
-const OUTCOMES_NEEDED: usize = 3;
-const SUCCESSES_NEEDED: usize = 2;
+/// Of its last five outcomes, a healthy cache has so many successes.
+const ALL_GOOD: u32 = 0b11111;
+const SUCCESSES_NEEDED: u32 = 3;
 /// First wait before a failing cache is tried again, doubled up to the last.
 const FIRST_TRIAL: Span = Span::from_millis(1000);
 const LAST_TRIAL: Span = Span::from_millis(8000);
@@ -55,21 +57,21 @@
 const LIMIT_CUT: f64 = 0.7;
 /// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
 const MIN_LIMIT: f64 = 0.25;
-const MAX_LIMIT: f64 = 512.0;
 /// An answer slower than this share of its SLO tells of a queue.
 const SLOW_SHARE: f64 = 0.4;
 /// Share of an SLO that an API call may wait here, with nothing out, for room.
 const PATIENCE: f64 = 0.4;
-/// A turned-away client is asked to stay away for this many SLOs: a repeat soon after comes too late for the
-/// SLO of its first try, and takes the place of a call that does not.
+/// A turned-away client is asked to stay away for this many SLOs: a repeat soon after would come too late.
 const COME_BACK: f64 = 4.0;
 /// A cache silent for this share of an SLO since a shot was sent is held to hang.
 const SILENCE_SHARE: f64 = 0.5;
-/// A tenant's unused quota is kept for this long.
+/// Shots are recalled for silence at this share of the API calls taken, saved up to so many: a node that has
+/// seldom more than one shot at a cache takes every slow one for silence, and would double the load.
+const RECALL_SHARE: f64 = 0.1;
+const RECALLS_SAVED: f64 = 5.0;
+/// A tenant's unused quota is kept for this long, but so many calls of it at the least: few come in groups.
 const QUOTA_MEMORY_S: f64 = 1.0;
-const CHECK_EVERY: Span = Span::from_millis(1000);
-/// Reports older than a few check periods say nothing of the present.
-const REPORT_LASTS: Span = Span::from_millis(3000);
+const QUOTA_SAVED: f64 = 8.0;
 /// How often waiting calls are looked at when nothing happens.
 const RECHECK: Span = Span::from_millis(20);
 /// A refused or unanswered watch is asked for again after this, growing, with jitter.
@@ -77,12 +79,12 @@
 /// Asking waits at most this share of the time after which a node counts as not asking.
 const REASK_SHARE: f64 = 0.25;
 
-/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one
-/// it is the share of the time that a shot may be out: with a floor of one, many nodes together would keep
-/// a crowded cache crowded for good.
+/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one it
+/// is the share of the time that a shot may be out, or many nodes together would keep a crowd up for good.
 struct Limit {
     in_flight: u32,
     most: f64,
+    least: f64,
     last_cut: Time,
     rest_until: Time,
 }
@@ -90,22 +92,24 @@
 struct Cache {
     listing: Listing,
     is_origin: bool,
-    /// Failures are `false`.
-    outcomes: VecDeque<bool>,
+    /// A bit each, the last one lowest; successes are ones.
+    outcomes: u32,
     /// While it fails: when one shot may try it again, and the wait after that.
     trial: Option<(Time, Span)>,
     limit: Limit,
     last_heard: Time,
     usage: FadingLevel,
-    /// Work sent within the fall window.
-    burst: FadingSum,
+    /// While cold: work saved up for it and when, and the share of a call's that the next one takes.
+    saved: (f64, Time),
+    draw: f64,
+    /// The part of its keys that it may take, by its listed load.
+    part: f64,
     push: f64,
-    report: Option<(Time, f64)>,
-    checked: Option<Time>,
 }
 
 struct KeyWeights {
     table: u64,
+    slot: u64,
     /// In the slot table's order.
     slots: [Option<(CacheId, f64)>; CANDIDATES],
     asked: FadingSum,
@@ -117,19 +121,18 @@
 /// A shot that was sent.
 #[derive(Clone, Copy)]
 struct Sent {
-    product: ProductId,
-    key: Key,
+    call: ApiCall,
     cache: CacheId,
     at: Time,
     out: bool,
     /// Whether it was expected to make the cache fetch.
     fetch: bool,
+    over_quota: bool,
 }
 
 struct Open {
     call: ApiCall,
-    /// Whether it waits for this node's own fetch of the same key.
-    joined: bool,
+    over_quota: bool,
     rank: (u64, u64),
     slo_end: Time,
     end: Time,
@@ -158,7 +161,9 @@
     seed: u64,
     chances: u64,
     caches: BTreeMap<CacheId, Cache>,
-    table: Vec<[Option<CacheId>; CANDIDATES]>,
+    /// The serving caches with their sizes, and their three best in each slot that was used since they changed.
+    serving: Vec<(CacheId, f64)>,
+    table: Vec<Option<[Option<CacheId>; CANDIDATES]>>,
     table_version: u64,
     keys: HashMap<Key, KeyWeights>,
     asked: FadingSum,
@@ -171,7 +176,8 @@
     ready: BTreeMap<(u64, u64), ApiCallId>,
     cursor: Option<(u64, u64)>,
     alarms: BTreeSet<(Time, ApiCallId)>,
-    fetching: HashMap<Key, ApiCallId>,
+    /// The reads that have a fetch of their key out, and those that wait for it.
+    fetching: HashMap<Key, (ApiCallId, Vec<ApiCallId>)>,
     /// Every shot whose end was not heard yet, also of calls that have ended.
     out: HashMap<(ApiCallId, ShotNumber), Sent>,
     /// Fetches that through caches are held to make for this node's calls.
@@ -179,8 +185,13 @@
     answers: VecDeque<(ApiCallId, Answer)>,
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
+    recalls_earned: f64,
+    nominal: BTreeMap<KindId, f64>,
+    /// Shots of calls beyond their quota, at all caches together.
+    spare: Limit,
     reask: Option<(Time, Span)>,
-    /// What each unit of warm size got within the fall window, on average over the time of a warm-up.
+    /// Work sent to caches in the fall window, and its part for each unit of warm size over a warm-up's time.
+    sent: FadingSum,
     carried: FadingMean,
     now: Time,
 }
@@ -201,17 +212,20 @@
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
         let latencies = |p: &Product| [FadingMean::new(RATE_MEMORY, now, p.slo.as_secs_f64() / 8.0); 2];
         let quota = |per_s: &f64| (per_s / settings.nodes * QUOTA_MEMORY_S, now);
-        let carried = FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0);
         Brain {
+            sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
+            carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
             latencies: settings.products.iter().map(latencies).collect(),
             quotas: settings.quotas_per_s.iter().map(quota).collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
-            fetches: Limit::new(settings.nodes, now),
+            fetches: Limit::new(settings.nodes, MIN_LIMIT, now),
+            spare: Limit::new(settings.nodes, MIN_LIMIT / settings.nodes, now),
             settings,
             seed,
             chances: 0,
             caches: BTreeMap::new(),
-            table: Vec::new(),
+            serving: Vec::new(),
+            table: vec![None; SLOTS as usize],
             table_version: 0,
             keys: HashMap::new(),
             asked: FadingSum::new(RATE_MEMORY, now),
@@ -225,7 +239,8 @@
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
-            carried,
+            recalls_earned: RECALLS_SAVED,
+            nominal: BTreeMap::new(),
             now,
         }
     }
@@ -261,11 +276,12 @@
         }
         let over_quota = !self.within_quota(now, call.tenant);
         self.calls_seen += 1;
+        self.recalls_earned = (self.recalls_earned + RECALL_SHARE).min(RECALLS_SAVED);
         let rank = ((u64::from(over_quota) << 63) | (u64::MAX / 2 - value.to_bits() / 2), self.calls_seen);
         let patience = if over_quota { Span::ZERO } else { slo.scaled(PATIENCE) };
         let open = Open {
             call,
-            joined: false,
+            over_quota,
             rank,
             slo_end: now + slo,
             end: now + call.budget,
@@ -287,13 +303,13 @@
         self.close(id);
     }
 
-    /// A shot's end, with the load report that came along.
-    pub fn shot_ended(&mut self, now: Time, id: ApiCallId, end: &ShotEnd, load: &[f32]) {
+    pub fn shot_ended(&mut self, now: Time, id: ApiCallId, end: &ShotEnd) {
         self.heard(now);
         let ShotEnd { number, cache, outcome, latency, answered } = *end;
-        self.note_report(now, cache, load);
         let Some(sent) = self.out.remove(&(id, number)).filter(|s| s.cache == cache) else { return };
-        let fetch_failed = self.fetch_failed(now, &sent, outcome, latency);
+        // An error slower than a hit tells of a fetch behind the cache.
+        let slower = latency.as_secs_f64() > self.latency(now, sent.call.product, false);
+        let fetch_failed = self.settings.mode == Mode::Through && outcome == Outcome::Errored && slower;
         self.judge(now, &sent, outcome, latency, fetch_failed);
         let origin = self.is_origin(cache);
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -307,9 +323,7 @@
         if !origin && !matches!(outcome, Outcome::Full | Outcome::Moot) {
             open.passed.push(cache);
         }
-        if !open.call.write {
-            self.release_joined(id);
-        }
+        self.release_joined(id);
         if answered {
             self.close(id);
         } else if fetch_failed {
@@ -320,12 +334,6 @@
         }
     }
 
-    /// A check's result.
-    pub fn cache_checked(&mut self, now: Time, cache: CacheId, load: &[f32]) {
-        self.heard(now);
-        self.note_report(now, cache, load);
-    }
-
     /// The next shot to send now.
     pub fn next_shot(&mut self, now: Time) -> Option<Shot> {
         self.advance(now);
@@ -350,17 +358,6 @@
         self.recalls.pop_front()
     }
 
-    /// The next cache to check on.
-    pub fn next_check(&mut self, now: Time) -> Option<CacheId> {
-        if !self.checks() {
-            return None;
-        }
-        let due = |c: &&mut Cache| c.serves() && c.checked.is_none_or(|at| at + CHECK_EVERY <= now);
-        let cache = self.caches.values_mut().find(due)?;
-        cache.checked = Some(now);
-        Some(cache.listing.cache)
-    }
-
     /// Whether to ask for a watch on the list now.
     pub fn wants_watch(&mut self, now: Time) -> bool {
         let Some((_, wait)) = self.reask.filter(|(at, _)| *at <= now) else { return false };
@@ -370,18 +367,9 @@
 
     /// When to pull again if nothing happens before.
     pub fn next_wake(&self, now: Time) -> Option<Time> {
-        let mut wake = self.alarms.first().map(|a| a.0);
-        let mut sooner = |at: Time| wake = Some(wake.map_or(at, |w| w.min(at)));
-        if !self.ready.is_empty() {
-            sooner(now + RECHECK);
-        }
-        if let Some((at, _)) = self.reask {
-            sooner(at);
-        }
-        if self.checks() {
-            let checked = self.caches.values().filter(|c| c.serves()).filter_map(|c| c.checked).min();
-            sooner(checked.unwrap_or(now) + CHECK_EVERY);
-        }
+        let alarm = self.alarms.first().map(|a| a.0);
+        let recheck = (!self.ready.is_empty()).then_some(now + RECHECK);
+        let wake = [alarm, recheck, self.reask.map(|r| r.0)].into_iter().flatten().min();
         wake.map(|w| w.max(now))
     }
 }
@@ -402,16 +390,18 @@
             self.give_up(id);
             return None;
         }
-        let joins = |f: &ApiCallId| *f != id && !open.call.write;
-        if self.fetching.get(&open.call.key).is_some_and(joins) {
-            let (rank, open) = (open.rank, self.open.get_mut(&id)?);
-            open.joined = true;
-            self.ready.remove(&rank);
+        let fetch = self.fetching.get_mut(&open.call.key).filter(|f| f.0 != id && !open.call.write);
+        if let Some((_, waiting)) = fetch {
+            waiting.push(id);
+            self.ready.remove(&open.rank);
             // A joined call whose fetch drags on is given up at its SLO.
             self.alarms.insert((open.slo_end, id));
             return None;
         }
-        let target = if asks_origin { self.best_origin(now, id) } else { self.best_candidate(now, id) };
+        let mut origins =
+            self.caches.values().filter(|c| c.is_origin && asks_origin).map(|c| c.listing.cache);
+        let origin = origins.find(|c| self.is_free(now, id, *c));
+        let target = if asks_origin { origin } else { self.best_candidate(now, id) };
         if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
             self.give_up(id);
         }
@@ -419,32 +409,27 @@
     }
 
     /// A key's candidates that the list holds, the highest weight first.
-    fn ranked(&self, key: Key) -> Vec<(CacheId, f64)> {
-        let slots = match self.keys.get(&key).filter(|k| k.table == self.table_version) {
-            Some(weights) => weights.slots,
-            None => self.start_weights(key),
+    fn ranked(&self, key: Key) -> Vec<CacheId> {
+        let slots = match self.keys.get(&key) {
+            Some(weights) if weights.table == self.table_version => weights.slots,
+            known => self.start_weights(key, known.map_or_else(|| self.slot_of(key, 0.0), |k| k.slot)),
         };
         let mut ranked: Vec<_> = slots.into_iter().flatten().collect();
         ranked.sort_by(|a, b| b.1.total_cmp(&a.1));
-        ranked
+        ranked.into_iter().map(|r| r.0).collect()
     }
 
     /// The candidate of highest weight that may be sent to.
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
         let key = self.open[&id].call.key;
-        // A cold cache takes over its keys one by one as it warms, the same ones at every node; where all
-        // candidates are cold, the budget alone holds.
-        let taken_over = |c: &CacheId| unit(hash_of((key, c, "warm"))) < self.warmth(now, *c);
-        let (taken, cold): (Vec<_>, Vec<_>) = self.ranked(key).into_iter().map(|c| c.0).partition(taken_over);
+        // A cold or crowded cache takes a part of its keys, the same ones at every node, and all if all are so.
+        let share = |c: &CacheId| self.caches.get(c).map_or(0.0, |c| c.part * self.warmth(now, c));
+        let taken_over = |c: &CacheId| unit(hash_of((key, c, "warm"))) < share(c);
+        let (taken, cold): (Vec<_>, Vec<_>) = self.ranked(key).into_iter().partition(taken_over);
         let pool = if taken.is_empty() { cold } else { taken };
         pool.into_iter().find(|c| self.is_free(now, id, *c))
     }
 
-    fn best_origin(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
-        let mut origins = self.caches.values().filter(|c| c.is_origin).map(|c| c.listing.cache);
-        origins.find(|c| self.is_free(now, id, *c))
-    }
-
     fn is_free(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         self.may_send(now, id, cache) && self.has_room(now, id, cache)
     }
@@ -457,7 +442,8 @@
         let tried = |at| at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
         let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
         let fetch_fits = || self.fetches.has_room(now) || !self.likely_fetch(&open.call, cache);
-        !barred && c.limit.has_room(now) && fetch_fits()
+        let spare_fits = !open.over_quota || self.spare.has_room(now);
+        !barred && spare_fits && c.limit.has_room(now) && fetch_fits()
     }
 
     /// Whether a through cache will have to ask the origin, as far as this node can tell.
@@ -467,10 +453,9 @@
     }
 
     /// The present share of its capacity that a cache has at least.
-    fn warmth(&self, now: Time, cache: CacheId) -> f64 {
+    fn warmth(&self, now: Time, c: &Cache) -> f64 {
         let s = &self.settings;
-        let started = self.caches.get(&cache).and_then(|c| c.listing.started);
-        let Some(started) = started.filter(|_| s.warm_after > Span::ZERO) else { return 1.0 };
+        let Some(started) = c.listing.started.filter(|_| s.warm_after > Span::ZERO) else { return 1.0 };
         let age = (now - started).as_secs_f64() / s.warm_after.as_secs_f64();
         s.cold_from + (1.0 - s.cold_from) * age.min(1.0)
     }
@@ -479,22 +464,16 @@
     fn may_send(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let (Some(open), Some(c)) = (self.open.get(&id), self.caches.get(&cache)) else { return false };
         // Rule 1: nothing for a call that has ended.
-        if now >= open.end || open.shots.len() >= self.settings.max_shots as usize {
-            return false;
-        }
-        // Rule 3: nothing new from the moment the node knows, well within the grace.
-        if !c.listing.ready {
-            return false;
-        }
+        let lives = now < open.end && open.shots.len() < self.settings.max_shots as usize;
         // Rule 2: no effect twice, and no two shots out where the site forbids it.
-        if open.first_out().is_some() && !self.settings.second_copies {
-            return false;
-        }
-        if !self.may_repeat(now, open, &c.listing) {
-            return false;
-        }
+        let single = self.settings.second_copies || open.first_out().is_none();
+        let harmless = single && self.may_repeat(now, open, &c.listing);
+        // Rule 3: nothing new from the moment the node knows, well within the grace.
+        let ready = c.listing.ready;
         // Rule 4: the node's part of what a cold cache stands.
-        self.warmth(now, cache) >= 1.0 || c.burst.read(now) < self.cold_budget(now, c, &open.call)
+        let work = self.work_of(now, &open.call);
+        let stands = self.warmth(now, c) >= 1.0 || self.cold_savings(now, c, work) >= c.draw * work;
+        lives && harmless && ready && stands
     }
 
     /// Whether an effect is safe from happening twice if the call goes to this cache too.
@@ -516,25 +495,22 @@
         }
     }
 
-    /// The work that this node may have sent to a cold cache within the fall window: its part, by warmth
-    /// and size, of what the caches got from this node of late. All nodes together stay near the cache's
-    /// part of the load, and so far under the multiple of its capacity. One call in a while always fits,
-    /// or a fleet that is cold throughout would never be found out to work.
-    fn cold_budget(&self, now: Time, cache: &Cache, call: &ApiCall) -> f64 {
-        let warm_size = self.size_of(&cache.listing) * self.warmth(now, cache.listing.cache);
+    /// The work a second that this node may send a cold cache: its part, by warmth and size, of what caches got
+    /// from it of late, so that all nodes stay near the cache's part of the load; but no less than one call at
+    /// a time from all nodes together, or a fleet that is cold throughout would never be found out to work.
+    fn cold_rate(&self, now: Time, c: &Cache) -> f64 {
+        let warmth = self.warmth(now, c);
         // Twice the part may come together by chance; where even that would topple it, it gets less.
-        let part = (self.settings.fall_multiple * 0.5).min(1.0);
-        (self.carried.read(now) * warm_size * part).max(self.work_of(now, call) * 0.5)
+        let part = (self.settings.fall_multiple * 0.5).min(1.0) / self.settings.fall_window.as_secs_f64();
+        (self.carried.read(now) * self.size_of(&c.listing) * part).max(1.0 / self.settings.nodes) * warmth
     }
 
-    /// What each unit of warm size got from this node within the fall window, as the caches now stand.
-    fn carried_now(&self, now: Time) -> f64 {
-        let serving = self.caches.values().filter(|c| c.serves());
-        let (work, size) = serving.fold((0.0, 0.0), |(work, size), c| {
-            let warm_size = self.size_of(&c.listing) * self.warmth(now, c.listing.cache);
-            (work + c.burst.read(now), size + warm_size)
-        });
-        if size > 0.0 { work / size } else { 0.0 }
+    /// The work saved up for a cold cache. Far less than a call's at each of many nodes: it is sent once
+    /// a part of it, drawn by chance, is saved, so that nodes neither all wait nor all send at once.
+    fn cold_savings(&self, now: Time, c: &Cache, work: f64) -> f64 {
+        let rate = self.cold_rate(now, c);
+        let most = (rate * self.settings.fall_window.as_secs_f64() * 0.5).max(work);
+        (c.saved.0 + rate * (now - c.saved.1).as_secs_f64()).min(most)
     }
 
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
@@ -545,21 +521,23 @@
         let open = self.open.get_mut(&id).expect("placed calls are open");
         self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
         let end = open.end;
-        let sent = Sent { product: open.call.product, key: open.call.key, cache, at: now, out: true, fetch };
+        let (call, over_quota) = (open.call, open.over_quota);
+        let sent = Sent { call, cache, at: now, out: true, fetch, over_quota };
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
         self.ready.remove(&open.rank);
         if (origin || fetch) && !open.call.write {
-            self.fetching.insert(open.call.key, id);
+            self.fetching.entry(open.call.key).or_insert((id, Vec::new()));
         }
+        let (draw, saved) = (self.chance(), self.cold_savings(now, &self.caches[&cache], work) - work);
         let c = self.caches.get_mut(&cache).expect("candidates are listed");
+        (c.draw, c.saved) = (draw, (saved, now));
         c.limit.in_flight += 1;
         self.fetches.in_flight += u32::from(fetch);
+        self.spare.in_flight += u32::from(sent.over_quota);
         c.usage.step_by(now, 1.0);
-        c.burst.add(now, work);
-        if let Some((_, wait)) = c.trial {
-            c.trial = Some((now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
-        }
+        self.sent.add(now, if origin { 0.0 } else { work });
+        c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
         Shot { api_call: id, cache, give_up_after: end - now }
     }
 }
@@ -600,21 +578,16 @@
     /// Lets the calls go on that waited for this call's fetch.
     fn release_joined(&mut self, id: ApiCallId) {
         let Some(key) = self.open.get(&id).map(|o| o.call.key) else { return };
-        if self.fetching.get(&key) != Some(&id) {
-            return;
-        }
-        self.fetching.remove(&key);
-        let waits = |o: &Open| o.joined && o.call.key == key;
-        let joined: Vec<_> = self.open.iter().filter(|(_, o)| waits(o)).map(|(id, _)| *id).collect();
-        for id in joined {
-            self.set_waiting(id);
+        if self.fetching.get(&key).is_some_and(|f| f.0 == id) {
+            let (_, waiting) = self.fetching.remove(&key).expect("just seen");
+            waiting.into_iter().for_each(|w| self.set_waiting(w));
         }
     }
 
     fn set_waiting(&mut self, id: ApiCallId) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.joined = false;
-        self.ready.insert(open.rank, id);
+        if let Some(open) = self.open.get(&id) {
+            self.ready.insert(open.rank, id);
+        }
     }
 }
 
@@ -622,19 +595,20 @@
 impl Brain {
     fn take_list(&mut self, now: Time, listings: &[Listing], complete: bool) {
         self.heard(now);
-        if complete {
-            let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
-            for cache in self.caches.values_mut().filter(|c| !named.contains(&c.listing.cache)) {
-                cache.listing.ready = false;
-            }
+        let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
+        for c in self.caches.values_mut() {
+            c.listing.ready &= !complete || named.contains(&c.listing.cache);
         }
         for listing in listings {
+            let nominal = self.nominal.entry(listing.kind).or_insert(listing.size);
+            *nominal = nominal.max(listing.size);
+            let draw = self.chance();
             match self.caches.get_mut(&listing.cache) {
                 // A restart under the same id begins cold and with a clean slate.
                 Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
                 known => {
                     let in_flight = known.map_or(0, |c| c.limit.in_flight);
-                    let mut cache = Cache::new(*listing, &self.settings, now);
+                    let mut cache = Cache::new(*listing, &self.settings, draw, now);
                     cache.limit.in_flight = in_flight;
                     cache.usage.step_by(now, f64::from(in_flight));
                     self.caches.insert(listing.cache, cache);
@@ -642,7 +616,7 @@
             }
         }
         self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0 || c.is_origin);
-        self.rebuild_table();
+        self.renew_table();
     }
 
     fn heard(&mut self, now: Time) {
@@ -674,39 +648,39 @@
         }
     }
 
-    /// Calls off a shot at a cache that has not said a word since, so that another can be sent in time.
-    /// A slow answer from a cache that goes on answering is waited for: sending that elsewhere would
-    /// do its work, and its fetch from the origin, twice.
+    /// Calls off a shot at a cache that was silent since, so that another can be sent in time. One that answers
+    /// others is waited for: elsewhere the work, and the fetch from the origin, would be done twice.
     fn recall_silent(&mut self, now: Time, id: ApiCallId) {
         let open = &self.open[&id];
         let last = open.shots.len() - 1;
-        let Sent { cache, at: sent, out, .. } = open.shots[last];
+        let Sent { cache, at: sent, .. } = open.shots[last];
         let patience = self.product(open.call.product).slo.scaled(SILENCE_SHARE);
         // The alarm may have been set for an earlier shot of this call.
         let silent = now >= sent + patience && self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
         let idempotent = self.effect(open) == Effect::Idempotent && !self.is_origin(cache);
-        if out && silent && idempotent && self.settings.may_recall && now < open.slo_end {
+        let may = self.settings.may_recall && self.recalls_earned >= 1.0;
+        if silent && idempotent && may && now < open.slo_end {
+            self.recalls_earned -= 1.0;
             self.recalls.push_back((id, ShotNumber(last as u8)));
         }
     }
 
     /// One learning step: the push on every stored weight, by its cache's usage against the mean.
     fn learn(&mut self, now: Time) {
-        self.carried.add(now, self.carried_now(now));
-        let reports = self.settings.utilisation_column.is_some();
-        let usage = |c: &Cache| match c.report.filter(|r| now - r.0 <= REPORT_LASTS) {
-            Some(report) => Some(report.1),
-            None if reports => None,
-            None => Some(c.usage.read(now) / self.size_of(&c.listing)),
+        let warm_size = |c: &Cache| self.size_of(&c.listing) * self.warmth(now, c);
+        let size: f64 = self.caches.values().filter(|c| c.serves()).map(warm_size).sum();
+        self.carried.add(now, self.sent.read(now) / size.max(1e-9));
+        let usage = |c: &Cache| match self.settings.live_sizes {
+            true => self.held(&c.listing),
+            false => c.usage.read(now) / self.size_of(&c.listing),
         };
         let serving = self.caches.values().filter(|c| c.serves());
-        let usages: Vec<(CacheId, Option<f64>)> = serving.map(|c| (c.listing.cache, usage(c))).collect();
-        let values: Vec<f64> = usages.iter().filter_map(|u| u.1).collect();
-        let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
-        for (id, usage) in usages {
+        let usages: Vec<_> = serving.map(|c| (c.listing.cache, usage(c), self.listed_wait(now, c))).collect();
+        let mean = usages.iter().map(|u| u.1).sum::<f64>() / usages.len().max(1) as f64;
+        for (id, usage, wait) in usages {
             let cache = self.caches.get_mut(&id).expect("listed above");
-            let relative = if mean > 0.0 { usage.map_or(1.0, |u| u / mean) } else { 1.0 };
-            cache.push = PUSH * (1.0 - relative) + PUSH_KEPT * cache.push;
+            cache.part = if wait > 1.0 { cache.part * PART_CUT } else { (cache.part + PART_GROWS).min(1.0) };
+            cache.push = PUSH * (1.0 - if mean > 0.0 { usage / mean } else { 1.0 }) + PUSH_KEPT * cache.push;
         }
         let psi = |b: f64| (1.0 - (-PUSH_STEEPNESS * b).exp()) / (1.0 + (-PUSH_STEEPNESS * b).exp());
         let pushes: BTreeMap<CacheId, f64> = self.caches.iter().map(|(id, c)| (*id, psi(c.push))).collect();
@@ -722,24 +696,28 @@
         if call.write && self.settings.mode != Mode::Through {
             return;
         }
-        let fresh = self.start_weights(call.key);
         let total = self.asked.read(now).max(1.0);
+        let asked = self.keys.get(&call.key).map_or(0.0, |k| k.asked.read(now)) + 1.0;
+        let slot = self.slot_of(call.key, (asked - SURE * asked.sqrt()) / total);
+        let ranked = self.table[slot as usize].unwrap_or_else(|| self.rank(slot));
+        self.table[slot as usize] = Some(ranked);
+        let fresh = self.start_weights(call.key, slot);
         let version = self.table_version;
         let weights = self.keys.entry(call.key).or_insert_with(|| KeyWeights {
             table: version,
+            slot,
             slots: fresh,
             asked: FadingSum::new(RATE_MEMORY, now),
             last_asked: now,
             held_by: None,
         });
-        if weights.table != version {
+        if (weights.table, weights.slot) != (version, slot) {
             let old = weights.slots;
-            // Where another cache is now first, all nodes start alike with it; a key that clung to the
-            // weights of the others would leave a new cache idle for good.
+            // Where another cache is first all nodes start anew: keys that clung to others would leave it idle.
             let same_first = fresh[0].map(|f| f.0) == old[0].map(|f| f.0);
             let kept = |c: CacheId| old.iter().flatten().find(|o| same_first && o.0 == c).map(|o| o.1);
             weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
-            weights.table = version;
+            (weights.table, weights.slot) = (version, slot);
         }
         weights.asked.add(now, 1.0);
         weights.last_asked = now;
@@ -756,26 +734,45 @@
         }
     }
 
-    fn start_weights(&self, key: Key) -> [Option<(CacheId, f64)>; CANDIDATES] {
-        let Some(slot) = self.table.get((hash_of(key) % SLOTS) as usize) else { return [None; CANDIDATES] };
+    /// The slot of a key with this share of the calls: at every node the same, unless the key is heavier than
+    /// one cache's part. Then nodes are split evenly over so many slots that each has about such a part.
+    fn slot_of(&self, key: Key, share: f64) -> u64 {
+        let parts = (share * self.serving.len() as f64).min(self.settings.nodes).max(1.0);
+        let part = hash_of((key, self.seed)) % (parts as u64).next_power_of_two();
+        if part == 0 { hash_of(key) % SLOTS } else { hash_of((key, part)) % SLOTS }
+    }
+
+    fn start_weights(&self, key: Key, slot: u64) -> [Option<(CacheId, f64)>; CANDIDATES] {
+        let ranked = self.table[slot as usize].unwrap_or_else(|| self.rank(slot));
         std::array::from_fn(|place| {
             let spread = START_SPREAD * unit(hash_of((key, place)));
-            slot[place].map(|cache| (cache, START[place] + spread))
+            ranked[place].map(|cache| (cache, START[place] + spread))
         })
     }
 
-    /// Each slot ranks the ready caches by a hash of both, stretched by size where sizes are capacities.
-    fn rebuild_table(&mut self) {
-        let ready: Vec<Listing> = self.caches.values().filter(|c| c.serves()).map(|c| c.listing).collect();
-        self.table_version += 1;
-        self.table = (0..SLOTS)
-            .map(|slot| {
-                let score = |l: &Listing| -unit(hash_of((slot, l.cache))).max(1e-18).ln() / self.size_of(l);
-                let mut ranked: Vec<_> = ready.iter().map(|l| (score(l), l.cache)).collect();
-                ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-                std::array::from_fn(|place| ranked.get(place).map(|r| r.1))
-            })
-            .collect();
+    /// Each slot ranks the serving caches by a hash of both, stretched by size where sizes are capacities.
+    fn rank(&self, slot: u64) -> [Option<CacheId>; CANDIDATES] {
+        let mut best = [(f64::INFINITY, None); CANDIDATES];
+        for (cache, size) in &self.serving {
+            let mut next = (-unit(hash_of((slot, cache))).max(1e-18).ln() / size, Some(*cache));
+            for place in best.iter_mut() {
+                if next.0 < place.0 {
+                    std::mem::swap(place, &mut next);
+                }
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    /// Slots are ranked when they are next used: ranking all at each change would cost a large fleet dearly.
+    fn renew_table(&mut self) {
+        let serving = self.caches.values().filter(|c| c.serves());
+        let serving: Vec<_> = serving.map(|c| (c.listing.cache, self.size_of(&c.listing))).collect();
+        if serving != self.serving {
+            self.serving = serving;
+            self.table = vec![None; SLOTS as usize];
+            self.table_version += 1;
+        }
     }
 
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
@@ -784,11 +781,10 @@
         let chance = self.chance();
         // Every answer of the origin's own is a fetch.
         let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
-        let slo = self.product(sent.product).slo;
-        let service = Span::from_secs_f64(self.latency(now, sent.product, origin) * (0.5 + chance));
+        let slo = self.product(sent.call.product).slo;
+        let service = Span::from_secs_f64(self.latency(now, sent.call.product, origin) * (0.5 + chance));
         // A cache's queue serves all products: it must be short enough for the one with the least time.
-        let tightest = self.settings.products.iter().map(|p| p.slo).min().unwrap_or(slo);
-        let slow = latency > if origin { slo } else { tightest }.scaled(SLOW_SHARE);
+        let slow = latency > if origin { slo } else { self.settings.tightest_slo() }.scaled(SLOW_SHARE);
         if sent.fetch {
             let crowded = match outcome {
                 Outcome::Fetched | Outcome::TimedOut => Some(slow),
@@ -798,7 +794,7 @@
             };
             self.fetches.learn(now, latency, crowded, service);
         }
-        if let Some(weights) = self.keys.get_mut(&sent.key) {
+        if let Some(weights) = self.keys.get_mut(&sent.call.key) {
             match outcome {
                 Outcome::Fulfilled | Outcome::Fetched if !origin => weights.held_by = Some(sent.cache),
                 Outcome::Errored | Outcome::Lacking | Outcome::TimedOut => weights.held_by = None,
@@ -807,7 +803,7 @@
         }
         // What came too late, or by a fetch, does not count: it would make every call look hopeless.
         if outcome == Outcome::Fulfilled && latency <= slo {
-            let mean = &mut self.latencies[sent.product.0 as usize][usize::from(origin)];
+            let mean = &mut self.latencies[sent.call.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
         }
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
@@ -824,6 +820,12 @@
             _ => None,
         };
         c.limit.learn(now, latency, crowded, service);
+        if sent.over_quota {
+            self.spare.learn(now, latency, crowded, service);
+        } else if crowded == Some(true) {
+            // Wherever a crowd is met, what is beyond its quota gives way first.
+            self.spare.cut(now, latency);
+        }
         if outcome == Outcome::Full {
             // Repeated at once, shots that are turned away would become a crowded cache's whole work.
             c.limit.rest_until = c.limit.rest_until.max(now + service);
@@ -839,43 +841,26 @@
             // A recalled shot met silence, or its client left.
             _ => false,
         };
-        c.outcomes.push_back(healthy);
-        if c.outcomes.len() > OUTCOMES_KEPT {
-            c.outcomes.pop_front();
-        }
-        let good = c.outcomes.iter().filter(|o| **o).count();
-        let failing = c.outcomes.len() >= OUTCOMES_NEEDED && good < SUCCESSES_NEEDED;
+        c.outcomes = (c.outcomes << 1 | u32::from(healthy)) & ALL_GOOD;
         match c.trial {
             _ if origin => {}
             Some(_) if healthy => {
                 c.trial = None;
-                c.outcomes.clear();
+                c.outcomes = ALL_GOOD;
+            }
+            None if c.outcomes.count_ones() < SUCCESSES_NEEDED => {
+                c.trial = Some((now + FIRST_TRIAL, FIRST_TRIAL))
             }
-            None if failing => c.trial = Some((now + FIRST_TRIAL, FIRST_TRIAL)),
             _ => {}
         }
     }
 
-    /// Whether an error tells of a fetch behind the cache: it took longer than hits do.
-    fn fetch_failed(&self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) -> bool {
-        let hit = self.latency(now, sent.product, false);
-        let through = self.settings.mode == Mode::Through;
-        through && outcome == Outcome::Errored && latency.as_secs_f64() > hit
-    }
-
-    fn note_report(&mut self, now: Time, cache: CacheId, load: &[f32]) {
-        let Some(&value) = self.settings.utilisation_column.and_then(|n| load.get(n)) else { return };
-        if let Some(c) = self.caches.get_mut(&cache).filter(|_| value.is_finite()) {
-            c.report = Some((now, f64::from(value).clamp(0.0, 1e3)));
-        }
-    }
-
     /// Takes one call from its tenant's quota, of which each node counts on an even part.
     fn within_quota(&mut self, now: Time, tenant: Option<TenantId>) -> bool {
         let Some(n) = tenant.map(|t| t.0 as usize).filter(|n| *n < self.quotas.len()) else { return true };
         let rate = self.settings.quotas_per_s[n] / self.settings.nodes;
         let (left, at) = &mut self.quotas[n];
-        *left = (*left + (now - *at).as_secs_f64() * rate).min((rate * QUOTA_MEMORY_S).max(1.0));
+        *left = (*left + (now - *at).as_secs_f64() * rate).min((rate * QUOTA_MEMORY_S).max(QUOTA_SAVED));
         *at = now;
         let within = *left >= 1.0;
         *left -= if within { 1.0 } else { 0.0 };
@@ -902,13 +887,21 @@
         if self.settings.steady_sizes { listing.size.max(1e-3) } else { 1.0 }
     }
 
-    fn is_origin(&self, cache: CacheId) -> bool {
-        self.caches.get(&cache).is_some_and(|c| c.is_origin)
+    /// The calls that a cache holds on each core, where the list lets that be told.
+    fn held(&self, l: &Listing) -> f64 {
+        let nominal = self.nominal.get(&l.kind).filter(|_| self.settings.live_sizes);
+        nominal.map_or(0.0, |n| n / l.size.max(1e-6) - 1.0)
+    }
+
+    /// How long a call would wait at a cache by its listed load, in parts of the tightest SLO.
+    fn listed_wait(&self, now: Time, c: &Cache) -> f64 {
+        let latencies = self.latencies.iter().map(|l| l[0].read(now));
+        self.held(&c.listing) * latencies.fold(f64::INFINITY, f64::min)
+            / self.settings.tightest_slo().as_secs_f64()
     }
 
-    /// Whether load reports have to be fetched by checks.
-    fn checks(&self) -> bool {
-        self.settings.may_check && self.settings.reports_need_checks
+    fn is_origin(&self, cache: CacheId) -> bool {
+        self.caches.get(&cache).is_some_and(|c| c.is_origin)
     }
 
     fn chance(&mut self) -> f64 {
@@ -918,8 +911,8 @@
 }
 
 impl Limit {
-    fn new(nodes: f64, now: Time) -> Limit {
-        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now, rest_until: now }
+    fn new(nodes: f64, least: f64, now: Time) -> Limit {
+        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), least, last_cut: now, rest_until: now }
     }
 
     fn has_room(&self, now: Time) -> bool {
@@ -932,18 +925,22 @@
         let filled = f64::from(self.in_flight) >= self.most * 0.5;
         self.in_flight = self.in_flight.saturating_sub(1);
         match crowded {
-            // One cut for one crowd: only shots sent after the last cut tell of the limit it set.
-            Some(true) if now - self.last_cut >= latency => {
-                self.most = (self.most * LIMIT_CUT).max(MIN_LIMIT);
-                self.last_cut = now;
-            }
-            Some(false) if filled => self.most = (self.most + self.most.min(1.0 / self.most)).min(MAX_LIMIT),
+            Some(true) => self.cut(now, latency),
+            Some(false) if filled => self.most += self.most.min(1.0 / self.most),
             _ => {}
         }
         if self.most < 1.0 {
             self.rest_until = now + service.scaled(1.0 / self.most - 1.0);
         }
     }
+
+    /// One cut for one crowd: only shots sent after the last cut tell of the limit it set.
+    fn cut(&mut self, now: Time, latency: Span) {
+        if now - self.last_cut >= latency {
+            self.most = (self.most * LIMIT_CUT).max(self.least);
+            self.last_cut = now;
+        }
+    }
 }
 
 impl Cache {
@@ -952,20 +949,20 @@
         self.listing.ready && !self.is_origin
     }
 
-    fn new(listing: Listing, settings: &Settings, now: Time) -> Cache {
+    fn new(listing: Listing, settings: &Settings, draw: f64, now: Time) -> Cache {
         let is_origin = matches!(settings.mode, Mode::Aside { origin } if origin == listing.kind);
         Cache {
             listing,
             is_origin,
-            outcomes: VecDeque::new(),
+            outcomes: ALL_GOOD,
             trial: None,
-            limit: Limit::new(settings.nodes, now),
+            limit: Limit::new(settings.nodes, MIN_LIMIT, now),
             last_heard: now,
             usage: FadingLevel::new(USAGE_MEMORY, now),
-            burst: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
+            saved: (0.0, now),
+            draw,
+            part: 1.0,
             push: 0.0,
-            report: None,
-            checked: None,
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,17 +25,21 @@
     pub max_shots: u8,
     pub second_copies: bool,
     pub may_recall: bool,
-    pub may_check: bool,
     /// The longest wait that clients heed; zero where they can't be told.
     pub max_come_back: Span,
     /// Whether billed value counts per unit of work and not per API call.
     pub value_by_work: bool,
-    /// Where a load report holds the utilisation, if it does.
-    pub utilisation_column: Option<usize>,
-    /// Whether load reports come with checks only.
-    pub reports_need_checks: bool,
     /// Whether listed sizes are capacities, not momentary figures.
     pub steady_sizes: bool,
+    /// Whether listed sizes fall with the load: size / (1 + calls held a core).
+    pub live_sizes: bool,
+}
+
+impl Settings {
+    /// The SLO of the product with the least time.
+    pub fn tightest_slo(&self) -> Span {
+        self.products.iter().map(|p| p.slo).min().unwrap_or_default()
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
