--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 const PART_CUT: f64 = 0.9;
 const PART_GROWS: f64 = 0.025;
 const LEARNING_STEP: Span = Span::from_millis(250);
-/// Keys with stored weights; past it the half that was asked for longest ago goes.
+/// Keys with stored weights; past it the half that was asked for least of late goes.
 const MAX_KEYS: usize = 4096;
 /// A key's count is taken to be this many standard deviations lower, lest chance make it look heavy.
 const SURE: f64 = 1.5;
@@ -82,7 +82,7 @@
 /// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one it
 /// is the share of the time that a shot may be out, or many nodes together would keep a crowd up for good.
 struct Limit {
-    in_flight: u32,
+    in_flight: f64,
     most: f64,
     least: f64,
     last_cut: Time,
@@ -110,10 +110,8 @@
 struct KeyWeights {
     table: u64,
     slot: u64,
-    /// In the slot table's order.
     slots: [Option<(CacheId, f64)>; CANDIDATES],
     asked: FadingSum,
-    last_asked: Time,
     /// The cache that answered last, and so holds it unless it was voided or dropped.
     held_by: Option<CacheId>,
 }
@@ -125,8 +123,8 @@
     cache: CacheId,
     at: Time,
     out: bool,
-    /// Whether it was expected to make the cache fetch.
-    fetch: bool,
+    /// How likely it was to make the cache fetch.
+    fetch: f64,
     over_quota: bool,
 }
 
@@ -182,6 +180,8 @@
     out: HashMap<(ApiCallId, ShotNumber), Sent>,
     /// Fetches that through caches are held to make for this node's calls.
     fetches: Limit,
+    /// How often a shot that might make a through cache fetch did so of late.
+    fetch_odds: FadingMean,
     answers: VecDeque<(ApiCallId, Answer)>,
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
@@ -218,6 +218,7 @@
             latencies: settings.products.iter().map(latencies).collect(),
             quotas: settings.quotas_per_s.iter().map(quota).collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
+            fetch_odds: FadingMean::new(USAGE_MEMORY, now, 1.0),
             fetches: Limit::new(settings.nodes, MIN_LIMIT, now),
             spare: Limit::new(settings.nodes, MIN_LIMIT / settings.nodes, now),
             settings,
@@ -270,10 +271,8 @@
             return self.answers.push_back((id, Answer::Errored));
         };
         let slo = product.slo.min(call.budget);
-        let mut value = product.billed_value;
-        if !self.settings.value_by_work {
-            value /= self.latency(now, call.product, false).max(1e-6);
-        }
+        let work = if self.settings.value_by_work { 1.0 } else { self.latency(now, call.product, false) };
+        let value = product.billed_value / work.max(1e-6);
         let over_quota = !self.within_quota(now, call.tenant);
         self.calls_seen += 1;
         self.recalls_earned = (self.recalls_earned + RECALL_SHARE).min(RECALLS_SAVED);
@@ -423,8 +422,8 @@
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
         let key = self.open[&id].call.key;
         // A cold or crowded cache takes a part of its keys, the same ones at every node, and all if all are so.
-        let share = |c: &CacheId| self.caches.get(c).map_or(0.0, |c| c.part * self.warmth(now, c));
-        let taken_over = |c: &CacheId| unit(hash_of((key, c, "warm"))) < share(c);
+        let part = |c: &CacheId| self.caches.get(c).map_or(0.0, |c| c.part * self.warmth(now, c));
+        let taken_over = |c: &CacheId| unit(hash_of((key, c, "part"))) < part(c);
         let (taken, cold): (Vec<_>, Vec<_>) = self.ranked(key).into_iter().partition(taken_over);
         let pool = if taken.is_empty() { cold } else { taken };
         pool.into_iter().find(|c| self.is_free(now, id, *c))
@@ -439,17 +438,19 @@
         let open = &self.open[&id];
         let Some(c) = self.caches.get(&cache) else { return false };
         // Only what may run again is risked on a cache that fails.
-        let tried = |at| at <= now && c.limit.in_flight == 0 && self.effect(open) == Effect::Idempotent;
+        let tried = |at| at <= now && c.limit.in_flight < 1.0 && self.effect(open) == Effect::Idempotent;
         let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
-        let fetch_fits = || self.fetches.has_room(now) || !self.likely_fetch(&open.call, cache);
+        let fetch_fits = || self.fetches.has_room(now) || self.fetch_odds(now, &open.call, cache) == 0.0;
         let spare_fits = !open.over_quota || self.spare.has_room(now);
         !barred && spare_fits && c.limit.has_room(now) && fetch_fits()
     }
 
-    /// Whether a through cache will have to ask the origin, as far as this node can tell.
-    fn likely_fetch(&self, call: &ApiCall, cache: CacheId) -> bool {
+    /// How likely a through cache will have to ask the origin. With many nodes it mostly holds what another
+    /// asked for: counted as fetches in full, hits would be refused whenever the origin has no room.
+    fn fetch_odds(&self, now: Time, call: &ApiCall, cache: CacheId) -> f64 {
         let held = || self.keys.get(&call.key).is_some_and(|k| k.held_by == Some(cache));
-        self.settings.mode == Mode::Through && (call.write || !held())
+        let possible = self.settings.mode == Mode::Through && (call.write || !held());
+        if possible { self.fetch_odds.read(now) } else { 0.0 }
     }
 
     /// The present share of its capacity that a cache has at least.
@@ -516,7 +517,7 @@
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let origin = self.is_origin(cache);
         let work = self.work_of(now, &self.open[&id].call);
-        let fetch = self.likely_fetch(&self.open[&id].call, cache);
+        let fetch = self.fetch_odds(now, &self.open[&id].call, cache);
         let slo = self.product(self.open[&id].call.product).slo;
         let open = self.open.get_mut(&id).expect("placed calls are open");
         self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
@@ -526,15 +527,15 @@
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
         self.ready.remove(&open.rank);
-        if (origin || fetch) && !open.call.write {
+        if (origin || fetch > 0.0) && !open.call.write {
             self.fetching.entry(open.call.key).or_insert((id, Vec::new()));
         }
         let (draw, saved) = (self.chance(), self.cold_savings(now, &self.caches[&cache], work) - work);
         let c = self.caches.get_mut(&cache).expect("candidates are listed");
         (c.draw, c.saved) = (draw, (saved, now));
-        c.limit.in_flight += 1;
-        self.fetches.in_flight += u32::from(fetch);
-        self.spare.in_flight += u32::from(sent.over_quota);
+        c.limit.in_flight += 1.0;
+        self.fetches.in_flight += fetch;
+        self.spare.in_flight += if over_quota { 1.0 } else { 0.0 };
         c.usage.step_by(now, 1.0);
         self.sent.add(now, if origin { 0.0 } else { work });
         c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
@@ -607,15 +608,15 @@
                 // A restart under the same id begins cold and with a clean slate.
                 Some(cache) if cache.listing.started == listing.started => cache.listing = *listing,
                 known => {
-                    let in_flight = known.map_or(0, |c| c.limit.in_flight);
+                    let in_flight = known.map_or(0.0, |c| c.limit.in_flight);
                     let mut cache = Cache::new(*listing, &self.settings, draw, now);
                     cache.limit.in_flight = in_flight;
-                    cache.usage.step_by(now, f64::from(in_flight));
+                    cache.usage.step_by(now, in_flight);
                     self.caches.insert(listing.cache, cache);
                 }
             }
         }
-        self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0 || c.is_origin);
+        self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0.0 || c.is_origin);
         self.renew_table();
     }
 
@@ -708,7 +709,6 @@
             slot,
             slots: fresh,
             asked: FadingSum::new(RATE_MEMORY, now),
-            last_asked: now,
             held_by: None,
         });
         if (weights.table, weights.slot) != (version, slot) {
@@ -720,7 +720,6 @@
             (weights.table, weights.slot) = (version, slot);
         }
         weights.asked.add(now, 1.0);
-        weights.last_asked = now;
         let width = WIDTH_SHARE * (-weights.asked.read(now) / total).exp() + WIDTH_BASE;
         let before = weights.slots;
         for (id, w) in weights.slots.iter_mut().flatten() {
@@ -728,9 +727,9 @@
             *w += PULL * (-rank * rank / (2.0 * width * width)).exp() * (1.0 - *w);
         }
         if self.keys.len() > MAX_KEYS {
-            let mut times: Vec<Time> = self.keys.values().map(|k| k.last_asked).collect();
-            let middle = *times.select_nth_unstable(MAX_KEYS / 2).1;
-            self.keys.retain(|_, k| k.last_asked > middle);
+            let mut asked: Vec<f64> = self.keys.values().map(|k| k.asked.read(now)).collect();
+            let middle = *asked.select_nth_unstable_by(MAX_KEYS / 2, f64::total_cmp).1;
+            self.keys.retain(|_, k| k.asked.read(now) > middle);
         }
     }
 
@@ -785,14 +784,17 @@
         let service = Span::from_secs_f64(self.latency(now, sent.call.product, origin) * (0.5 + chance));
         // A cache's queue serves all products: it must be short enough for the one with the least time.
         let slow = latency > if origin { slo } else { self.settings.tightest_slo() }.scaled(SLOW_SHARE);
-        if sent.fetch {
+        if sent.fetch > 0.0 {
             let crowded = match outcome {
                 Outcome::Fetched | Outcome::TimedOut => Some(slow),
                 Outcome::Errored => Some(true),
                 // A hit after all, for one, says nothing of the origin.
                 _ => None,
             };
-            self.fetches.learn(now, latency, crowded, service);
+            self.fetches.learn(now, latency, crowded, service, sent.fetch);
+            if crowded.is_some() || outcome == Outcome::Fulfilled {
+                self.fetch_odds.add(now, if crowded.is_some() { 1.0 } else { 0.0 });
+            }
         }
         if let Some(weights) = self.keys.get_mut(&sent.call.key) {
             match outcome {
@@ -813,15 +815,15 @@
         }
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
-            Outcome::TimedOut | Outcome::Recalled if !sent.fetch => Some(slow),
+            Outcome::TimedOut | Outcome::Recalled if sent.fetch == 0.0 => Some(slow),
             Outcome::Fulfilled => Some(slow),
             // That a key is lacking is soon said, crowd or none.
             Outcome::Lacking if slow => Some(true),
             _ => None,
         };
-        c.limit.learn(now, latency, crowded, service);
+        c.limit.learn(now, latency, crowded, service, 1.0);
         if sent.over_quota {
-            self.spare.learn(now, latency, crowded, service);
+            self.spare.learn(now, latency, crowded, service, 1.0);
         } else if crowded == Some(true) {
             // Wherever a crowd is met, what is beyond its quota gives way first.
             self.spare.cut(now, latency);
@@ -833,7 +835,7 @@
         let healthy = match outcome {
             // The origin's trouble bars no cache: its hits are needed then more than ever.
             Outcome::Errored if fetch_failed => return,
-            Outcome::TimedOut if sent.fetch => return,
+            Outcome::TimedOut if sent.fetch > 0.0 => return,
             // Nor does a shot whose client had little time left.
             Outcome::TimedOut | Outcome::Recalled if latency < slo.scaled(SILENCE_SHARE) => return,
             Outcome::Moot => return,
@@ -912,18 +914,18 @@
 
 impl Limit {
     fn new(nodes: f64, least: f64, now: Time) -> Limit {
-        Limit { in_flight: 0, most: (FIRST_LIMIT / nodes).max(1.0), least, last_cut: now, rest_until: now }
+        Limit { in_flight: 0.0, most: (FIRST_LIMIT / nodes).max(1.0), least, last_cut: now, rest_until: now }
     }
 
     fn has_room(&self, now: Time) -> bool {
-        now >= self.rest_until && f64::from(self.in_flight) < self.most.max(1.0)
+        now >= self.rest_until && self.in_flight < self.most.max(1.0)
     }
 
-    /// One of those in flight ended after `latency`, having met a crowd, none, or neither. `service` is
-    /// how long one should take, give or take by chance.
-    fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span) {
-        let filled = f64::from(self.in_flight) >= self.most * 0.5;
-        self.in_flight = self.in_flight.saturating_sub(1);
+    /// One that counted so much ended after `latency`, having met a crowd, none, or neither. `service` is how
+    /// long one should take, give or take by chance.
+    fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span, counted: f64) {
+        let filled = self.in_flight >= self.most * 0.5;
+        self.in_flight -= counted;
         match crowded {
             Some(true) => self.cut(now, latency),
             Some(false) if filled => self.most += self.most.min(1.0 / self.most),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -361,6 +361,7 @@
 #[test_case(scenario!("heavy"); "heavy")]
 #[test_case(scenario!("hopeless"); "hopeless")]
 #[test_case(scenario!("fetches"); "fetches")]
+#[test_case(scenario!("odds"); "odds")]
 #[test_case(scenario!("tightest"); "tightest")]
 #[test_case(scenario!("through"); "through")]
 #[test_case(scenario!("tenants"); "tenants")]
