No recalls for silence; crowded candidates share keys out by node, or refuse

Cause: at full size a node has seldom two shots at a cache, so every slow one looked silent and was sent again; calls whose candidates were all crowded went to the first of them.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,12 +63,8 @@
 const PATIENCE: f64 = 0.4;
 /// A turned-away client is asked to stay away for this many SLOs: a repeat soon after would come too late.
 const COME_BACK: f64 = 4.0;
-/// A cache silent for this share of an SLO since a shot was sent is held to hang.
+/// A shot left without an answer for less than this share of its SLO says nothing of the cache.
 const SILENCE_SHARE: f64 = 0.5;
-/// Shots are recalled for silence at this share of the API calls taken, saved up to so many: a node that has
-/// seldom more than one shot at a cache takes every slow one for silence, and would double the load.
-const RECALL_SHARE: f64 = 0.1;
-const RECALLS_SAVED: f64 = 5.0;
 /// A tenant's unused quota is kept for this long, but so many calls of it at the least: few come in groups.
 const QUOTA_MEMORY_S: f64 = 1.0;
 const QUOTA_SAVED: f64 = 8.0;
@@ -97,7 +93,6 @@
     /// While it fails: when one shot may try it again, and the wait after that.
     trial: Option<(Time, Span)>,
     limit: Limit,
-    last_heard: Time,
     usage: FadingLevel,
     /// While cold: work saved up for it and when, and the share of a call's that the next one takes.
     saved: (f64, Time),
@@ -185,7 +180,6 @@
     answers: VecDeque<(ApiCallId, Answer)>,
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
-    recalls_earned: f64,
     nominal: BTreeMap<KindId, f64>,
     /// Shots of calls beyond their quota, at all caches together.
     spare: Limit,
@@ -240,7 +234,6 @@
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
-            recalls_earned: RECALLS_SAVED,
             nominal: BTreeMap::new(),
             now,
         }
@@ -275,7 +268,6 @@
         let value = product.billed_value / work.max(1e-6);
         let over_quota = !self.within_quota(now, call.tenant);
         self.calls_seen += 1;
-        self.recalls_earned = (self.recalls_earned + RECALL_SHARE).min(RECALLS_SAVED);
         let rank = ((u64::from(over_quota) << 63) | (u64::MAX / 2 - value.to_bits() / 2), self.calls_seen);
         let patience = if over_quota { Span::ZERO } else { slo.scaled(PATIENCE) };
         let open = Open {
@@ -421,12 +413,15 @@
     /// The candidate of highest weight that may be sent to.
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
         let key = self.open[&id].call.key;
-        // A cold or crowded cache takes a part of its keys, the same ones at every node, and all if all are so.
-        let part = |c: &CacheId| self.caches.get(c).map_or(0.0, |c| c.part * self.warmth(now, c));
-        let taken_over = |c: &CacheId| unit(hash_of((key, c, "part"))) < part(c);
-        let (taken, cold): (Vec<_>, Vec<_>) = self.ranked(key).into_iter().partition(taken_over);
-        let pool = if taken.is_empty() { cold } else { taken };
-        pool.into_iter().find(|c| self.is_free(now, id, *c))
+        // A cold cache takes a part of its keys, the same ones at every node, and all if all are cold. A crowded
+        // one takes a part at each node, not the same ones, so that a key heavier than the cache is shared out.
+        let under = |c: &CacheId, by, part: &dyn Fn(&Cache) -> f64| {
+            self.caches.get(c).is_some_and(|k| unit(hash_of((key, c, by))) < part(k))
+        };
+        let ranked = self.ranked(key).into_iter();
+        let (warm, cold): (Vec<_>, Vec<_>) = ranked.partition(|c| under(c, 0, &|k| self.warmth(now, k)));
+        let mut pool = if warm.is_empty() { cold } else { warm }.into_iter();
+        pool.find(|c| under(c, self.seed, &|k| k.part) && self.is_free(now, id, *c))
     }
 
     fn is_free(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
@@ -518,9 +513,7 @@
         let origin = self.is_origin(cache);
         let work = self.work_of(now, &self.open[&id].call);
         let fetch = self.fetch_odds(now, &self.open[&id].call, cache);
-        let slo = self.product(self.open[&id].call.product).slo;
         let open = self.open.get_mut(&id).expect("placed calls are open");
-        self.alarms.insert((now + slo.scaled(SILENCE_SHARE), id));
         let end = open.end;
         let (call, over_quota) = (open.call, open.over_quota);
         let sent = Sent { call, cache, at: now, out: true, fetch, over_quota };
@@ -636,9 +629,7 @@
             let Some(open) = self.open.get(&id) else { continue };
             if at >= open.end {
                 self.answer(id, Answer::Errored);
-            } else if open.shots.last().is_some_and(|s| s.out) {
-                self.recall_silent(now, id);
-            } else if at >= open.slo_end {
+            } else if at >= open.slo_end && open.first_out().is_none() {
                 self.give_up(id);
             }
         }
@@ -649,23 +640,6 @@
         }
     }
 
-    /// Calls off a shot at a cache that was silent since, so that another can be sent in time. One that answers
-    /// others is waited for: elsewhere the work, and the fetch from the origin, would be done twice.
-    fn recall_silent(&mut self, now: Time, id: ApiCallId) {
-        let open = &self.open[&id];
-        let last = open.shots.len() - 1;
-        let Sent { cache, at: sent, .. } = open.shots[last];
-        let patience = self.product(open.call.product).slo.scaled(SILENCE_SHARE);
-        // The alarm may have been set for an earlier shot of this call.
-        let silent = now >= sent + patience && self.caches.get(&cache).is_none_or(|c| c.last_heard <= sent);
-        let idempotent = self.effect(open) == Effect::Idempotent && !self.is_origin(cache);
-        let may = self.settings.may_recall && self.recalls_earned >= 1.0;
-        if silent && idempotent && may && now < open.slo_end {
-            self.recalls_earned -= 1.0;
-            self.recalls.push_back((id, ShotNumber(last as u8)));
-        }
-    }
-
     /// One learning step: the push on every stored weight, by its cache's usage against the mean.
     fn learn(&mut self, now: Time) {
         let warm_size = |c: &Cache| self.size_of(&c.listing) * self.warmth(now, c);
@@ -810,9 +784,6 @@
         }
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
-        if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable) {
-            c.last_heard = now;
-        }
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
             Outcome::TimedOut | Outcome::Recalled if sent.fetch == 0.0 => Some(slow),
@@ -959,7 +930,6 @@
             outcomes: ALL_GOOD,
             trial: None,
             limit: Limit::new(settings.nodes, MIN_LIMIT, now),
-            last_heard: now,
             usage: FadingLevel::new(USAGE_MEMORY, now),
             saved: (0.0, now),
             draw,
