--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,8 @@
 /// In-flight limits start so high over all nodes together, and are cut to this share.
 const FIRST_LIMIT: f64 = 12.0;
 const LIMIT_CUT: f64 = 0.7;
+/// Low limits grow by this share at most: many nodes with small limits then settle where few shots meet a crowd.
+const LIMIT_GROWS: f64 = 0.3;
 /// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
 const MIN_LIMIT: f64 = 0.25;
 /// An answer slower than this share of its SLO tells of a queue.
@@ -899,7 +901,7 @@
         self.in_flight -= counted;
         match crowded {
             Some(true) => self.cut(now, latency),
-            Some(false) if filled => self.most += self.most.min(1.0 / self.most),
+            Some(false) if filled => self.most += (self.most * LIMIT_GROWS).min(1.0 / self.most),
             _ => {}
         }
         if self.most < 1.0 {
