--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -228,7 +228,8 @@
         let mut held: Option<String> = None;
         for n in 0..calls {
             let name = format!("load{}", self.calls.len());
-            self.ask(&name, &[words[0], &(n % keys).to_string()]);
+            let key = (n % keys).to_string();
+            self.ask(&name, &[&[words[0], &key], &words[1..]].concat());
             self.pull();
             let id = self.call(&name);
             self.now += span(every).0;
@@ -353,6 +354,8 @@
 #[test_case(scenario!("effects"); "effects")]
 #[test_case(scenario!("drains"); "drains")]
 #[test_case(scenario!("cold"); "cold")]
+#[test_case(scenario!("many-nodes"); "many nodes")]
+#[test_case(scenario!("beyond-quota"); "beyond quota")]
 #[test_case(scenario!("restart"); "restart")]
 #[test_case(scenario!("joined"); "joined")]
 #[test_case(scenario!("hang"); "hang")]
