--- a/src/brain.rs
+++ b/src/brain.rs
@@ -207,7 +207,7 @@
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
         let latencies = |p: &Product| [FadingMean::new(RATE_MEMORY, now, p.slo.as_secs_f64() / 8.0); 2];
-        let quota = |per_s: &f64| (per_s / settings.nodes * QUOTA_MEMORY_S, now);
+        let quota = |per_s: &f64| ((per_s / settings.nodes * QUOTA_MEMORY_S).max(QUOTA_SAVED), now);
         Brain {
             sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
