--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! All decisions of one node. How to call it: make a [`Brain`] from the settings; tell it what happens
 //! (`caches_listed`, `list_failed`, `api_call`, `client_left`, `shot_ended`: they only update what is known);
-//! then pull `next_shot`, `next_answer`, `next_recall` and `wants_watch` until none is left, and call again by
-//! `next_wake`. The interface is the block `impl Brain` headed "Interface". The ordinary path is `ranked`: the
-//! highest learned weight among a key's three candidates. Rules are kept in `may_send`, which every shot
+//! then pull `next_shot`, `next_answer`, `next_recall` and `wants_watch` until none is left, and call again
+//! by `next_wake`. The interface is the block `impl Brain` headed "Interface". The ordinary path is `ranked`:
+//! the highest learned weight among a key's three candidates. Rules are kept in `may_send`, which every shot
 //! passes, and `answer`, which every final answer passes. Where this leaves its design: `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -55,7 +55,7 @@
 /// In-flight limits start so high over all nodes together, and are cut to this share.
 const FIRST_LIMIT: f64 = 12.0;
 const LIMIT_CUT: f64 = 0.7;
-/// Low limits grow by this share at most: many nodes with small limits then settle where few shots meet a crowd.
+/// Low limits grow by this share at most: small limits of many nodes settle where few shots meet a crowd.
 const LIMIT_GROWS: f64 = 0.3;
 /// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
 const MIN_LIMIT: f64 = 0.25;
@@ -77,8 +77,8 @@
 /// Asking waits at most this share of the time after which a node counts as not asking.
 const REASK_SHARE: f64 = 0.25;
 
-/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one it
-/// is the share of the time that a shot may be out, or many nodes together would keep a crowd up for good.
+/// A limit on what is in flight: grows by one each time it was filled and served, cut by a share. Under one
+/// it is the share of the time that a shot may be out, or many nodes together would keep a crowd up for good.
 struct Limit {
     in_flight: f64,
     most: f64,
@@ -156,7 +156,7 @@
     seed: u64,
     chances: u64,
     caches: BTreeMap<CacheId, Cache>,
-    /// The serving caches with their sizes, and their three best in each slot that was used since they changed.
+    /// The serving caches with their sizes, and the three best in each slot used since they changed.
     serving: Vec<(CacheId, f64)>,
     table: Vec<Option<[Option<CacheId>; CANDIDATES]>>,
     table_version: u64,
@@ -415,8 +415,8 @@
     /// The candidate of highest weight that may be sent to.
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
         let key = self.open[&id].call.key;
-        // A cold cache takes a part of its keys, the same ones at every node, and all if all are cold. A crowded
-        // one takes a part at each node, not the same ones, so that a key heavier than the cache is shared out.
+        // A cold cache takes a part of its keys, the same at every node, and all if all are cold. A crowded
+        // one takes a part too, but not the same ones at each node, so that a heavy key is shared out.
         let under = |c: &CacheId, by, part: &dyn Fn(&Cache) -> f64| {
             self.caches.get(c).is_some_and(|k| unit(hash_of((key, c, by))) < part(k))
         };
@@ -493,9 +493,9 @@
         }
     }
 
-    /// The work a second that this node may send a cold cache: its part, by warmth and size, of what caches got
-    /// from it of late, so that all nodes stay near the cache's part of the load; but no less than one call at
-    /// a time from all nodes together, or a fleet that is cold throughout would never be found out to work.
+    /// The work a second that this node may send a cold cache: its part, by warmth and size, of what caches
+    /// got from it of late, so that all nodes stay near the cache's part of the load; but not under one call
+    /// at a time from all nodes together, or a fleet cold throughout would never be found out to work.
     fn cold_rate(&self, now: Time, c: &Cache) -> f64 {
         let warmth = self.warmth(now, c);
         // Twice the part may come together by chance; where even that would topple it, it gets less.
@@ -689,7 +689,7 @@
         });
         if (weights.table, weights.slot) != (version, slot) {
             let old = weights.slots;
-            // Where another cache is first all nodes start anew: keys that clung to others would leave it idle.
+            // Where another cache is first all nodes start anew: keys clinging to others would leave it idle.
             let same_first = fresh[0].map(|f| f.0) == old[0].map(|f| f.0);
             let kept = |c: CacheId| old.iter().flatten().find(|o| same_first && o.0 == c).map(|o| o.1);
             weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
