Read through: look origins up only when asked, state the quota cap once

Same decisions, less work: every placed read scanned all caches for origins it did not want; each changed list line built a set that only a full list needs; the cap on a saved quota stood twice; the choice among candidates went through a trait object and looked each cache up twice.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -203,11 +203,16 @@
     (hash >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The most calls of a quota that a node with this rate of it saves up.
+fn most_quota(per_s: f64) -> f64 {
+    (per_s * QUOTA_MEMORY_S).max(QUOTA_SAVED)
+}
+
 /// Interface.
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
         let latencies = |p: &Product| [FadingMean::new(RATE_MEMORY, now, p.slo.as_secs_f64() / 8.0); 2];
-        let quota = |per_s: &f64| ((per_s / settings.nodes * QUOTA_MEMORY_S).max(QUOTA_SAVED), now);
+        let quota = |per_s: &f64| (most_quota(per_s / settings.nodes), now);
         Brain {
             sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
@@ -391,10 +396,12 @@
             self.alarms.insert((open.slo_end, id));
             return None;
         }
-        let mut origins =
-            self.caches.values().filter(|c| c.is_origin && asks_origin).map(|c| c.listing.cache);
-        let origin = origins.find(|c| self.is_free(now, id, *c));
-        let target = if asks_origin { origin } else { self.best_candidate(now, id) };
+        let target = if asks_origin {
+            let mut origins = self.caches.values().filter(|c| c.is_origin).map(|c| c.listing.cache);
+            origins.find(|c| self.is_free(now, id, *c))
+        } else {
+            self.best_candidate(now, id)
+        };
         if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
             self.give_up(id);
         }
@@ -417,13 +424,12 @@
         let key = self.open[&id].call.key;
         // A cold cache takes a part of its keys, the same at every node, and all if all are cold. A crowded
         // one takes a part too, but not the same ones at each node, so that a heavy key is shared out.
-        let under = |c: &CacheId, by, part: &dyn Fn(&Cache) -> f64| {
-            self.caches.get(c).is_some_and(|k| unit(hash_of((key, c, by))) < part(k))
-        };
-        let ranked = self.ranked(key).into_iter();
-        let (warm, cold): (Vec<_>, Vec<_>) = ranked.partition(|c| under(c, 0, &|k| self.warmth(now, k)));
-        let mut pool = if warm.is_empty() { cold } else { warm }.into_iter();
-        pool.find(|c| under(c, self.seed, &|k| k.part) && self.is_free(now, id, *c))
+        let takes = |c: &Cache, by: u64, part: f64| unit(hash_of((key, c.listing.cache, by))) < part;
+        let ranked = self.ranked(key).into_iter().filter_map(|c| self.caches.get(&c));
+        let (warm, cold): (Vec<_>, Vec<_>) = ranked.partition(|c| takes(c, 0, self.warmth(now, c)));
+        let pool = if warm.is_empty() { cold } else { warm }.into_iter();
+        let mut open = pool.filter(|c| takes(c, self.seed, c.part)).map(|c| c.listing.cache);
+        open.find(|c| self.is_free(now, id, *c))
     }
 
     fn is_free(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
@@ -591,9 +597,11 @@
 impl Brain {
     fn take_list(&mut self, now: Time, listings: &[Listing], complete: bool) {
         self.heard(now);
-        let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
-        for c in self.caches.values_mut() {
-            c.listing.ready &= !complete || named.contains(&c.listing.cache);
+        if complete {
+            let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
+            for c in self.caches.values_mut() {
+                c.listing.ready &= named.contains(&c.listing.cache);
+            }
         }
         for listing in listings {
             let nominal = self.nominal.entry(listing.kind).or_insert(listing.size);
@@ -835,7 +843,7 @@
         let Some(n) = tenant.map(|t| t.0 as usize).filter(|n| *n < self.quotas.len()) else { return true };
         let rate = self.settings.quotas_per_s[n] / self.settings.nodes;
         let (left, at) = &mut self.quotas[n];
-        *left = (*left + (now - *at).as_secs_f64() * rate).min((rate * QUOTA_MEMORY_S).max(QUOTA_SAVED));
+        *left = (*left + (now - *at).as_secs_f64() * rate).min(most_quota(rate));
         *at = now;
         let within = *left >= 1.0;
         *left -= if within { 1.0 } else { 0.0 };
