--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -8,7 +8,6 @@
 use granitelb::units::{Span, Time};
 
 use crate::frame::{Batch, Malformed, Record, Reply, cache_bytes, span_bytes};
-use crate::settings;
 
 const ENTRY_BYTES: usize = 25;
 
@@ -59,8 +58,9 @@
         let node = record.u16(2);
         if code == 10 {
             let params = batch.tail(record, 12, 1)?;
-            let settings = settings::decode(params)
-                .map_err(|e| Malformed(format!("record {}: unreadable settings: {e}", record.at)))?;
+            let settings = granitelb_settings::decode(params)
+                .map_err(|e| Malformed(format!("record {}: unreadable settings: {e}", record.at)))?
+                .decisions;
             let has_tenants = !settings.quotas_per_s.is_empty();
             let brain = Brain::new(settings, record.u64(4), now);
             self.instances.insert(node, Instance { brain, has_tenants, wake: None });
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,7 +3,6 @@
 
 mod frame;
 mod host;
-mod settings;
 
 use std::io::{self, BufWriter, Read, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/node/src/program/config.rs
@@ -0,0 +1,150 @@
+//! The configuration: read, checked and given defaults here and nowhere else.
+//!
+//! It stands in the file that the command line or `ROUTER_CONFIG` names. `ROUTER_NAME`, `ROUTER_LISTEN` and
+//! `ROUTER_DISCOVERY` stand in for keys that the file leaves out.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use granitelb_settings::Decoded;
+use rustix::process::{Resource, getrlimit};
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
+
+use crate::protocol::Listings;
+use crate::routing::Setup;
+
+/// Where nothing says how many descriptors there are.
+const DESCRIPTORS: u64 = 1024;
+/// With fewer a node could hold no client and no cache beside its own descriptors.
+const FEWEST_DESCRIPTORS: u64 = 40;
+
+/// What is wrong with the configuration, and at which key.
+#[derive(Debug)]
+pub struct Fault {
+    key: String,
+    trouble: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration, {}: {}", self.key, self.trouble)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn fault(key: impl Into<String>, trouble: impl ToString) -> Fault {
+    Fault { key: key.into(), trouble: trouble.to_string() }
+}
+
+/// The file as it is written.
+#[derive(Deserialize)]
+struct File<'a> {
+    name: Option<String>,
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+    known: Option<Value>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: Option<u64>,
+}
+
+pub struct Config {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: u64,
+    descriptors: u64,
+    known: Option<Listings>,
+    settings: Decoded,
+}
+
+impl Config {
+    /// Reads the configuration; `variable` gives the environment's variables.
+    pub fn load(path: Option<&Path>, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+        let path = path.map(PathBuf::from).or_else(|| variable("ROUTER_CONFIG").map(PathBuf::from));
+        let path = path.ok_or_else(|| fault("ROUTER_CONFIG", "neither it nor --config names a file"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| fault(path.display().to_string(), e))?;
+        Config::read(&text, variable)
+    }
+
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+        let file: File<'_> = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
+            .map_err(|e| fault(key_of(e.path(), e.inner()), e.inner()))?;
+        let address = |key: &str, name: &str, given: Option<SocketAddr>| match (given, variable(name)) {
+            (Some(address), _) => Ok(address),
+            (None, Some(text)) => text.parse().map_err(|e| fault(name, e)),
+            (None, None) => Err(fault(key, format!("missing, and {name} is not set"))),
+        };
+        let settings = granitelb_settings::decode(file.settings.get().as_bytes())
+            .map_err(|e| fault(format!("settings.{}", key_of(e.path(), e.inner())), e.inner()))?;
+        if settings.names.products.iter().any(String::is_empty) || settings.names.products.is_empty() {
+            return Err(fault("settings.Products", "each product needs a name, and there must be one"));
+        }
+        let known = file.known.map(Listings::from_value).transpose().map_err(|e| fault("known", e))?;
+        // The limit that is told and the one that is in force: the lower one binds.
+        let in_force = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        let descriptors = file.limits.sockets.unwrap_or(DESCRIPTORS).min(in_force);
+        if descriptors < FEWEST_DESCRIPTORS {
+            let trouble = format!("{descriptors} descriptors are too few, {FEWEST_DESCRIPTORS} are needed");
+            return Err(fault("limits.sockets", trouble));
+        }
+        let seed = match &file.seed {
+            Some(text) => u64::from_str_radix(text, 16).map_err(|e| fault("seed", e))?,
+            // A node alone on its machine differs from others by its number of process and its start.
+            None => {
+                let start = std::time::UNIX_EPOCH.elapsed().unwrap_or_default().as_nanos() as u64;
+                start ^ u64::from(std::process::id()) << 40
+            }
+        };
+        Ok(Config {
+            name: file.name.or_else(|| variable("ROUTER_NAME")).unwrap_or_else(|| "node".into()),
+            listen: address("listen", "ROUTER_LISTEN", file.listen)?,
+            discovery: address("discovery", "ROUTER_DISCOVERY", file.discovery)?,
+            seed,
+            descriptors,
+            known,
+            settings,
+        })
+    }
+
+    pub fn into_setup(self) -> Setup {
+        let Config { listen, discovery, seed, descriptors, known, settings, .. } = self;
+        Setup { listen, discovery, seed, descriptors: descriptors as usize, known, settings }
+    }
+}
+
+/// The key that a fault is at; where one is missing, the message names it and this names its place.
+fn key_of(path: &serde_path_to_error::Path, trouble: &serde_json::Error) -> String {
+    match path.to_string().as_str() {
+        "." if trouble.is_syntax() || trouble.is_eof() => "the whole text".into(),
+        "." => "at its top".into(),
+        path => path.into(),
+    }
+}
+
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let known = self.known.as_ref().map_or(0, |k| k.entries.len());
+        write!(
+            f,
+            "{} listens on {}, asks {} for the list, remembers {known} caches, may hold {} descriptors, serves {}",
+            self.name,
+            self.listen,
+            self.discovery,
+            self.descriptors,
+            self.settings.names.products.join(", ")
+        )
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/driver.rs
@@ -0,0 +1,141 @@
+//! Tells the decisions what happened, and carries out what they decide.
+
+use std::collections::BTreeSet;
+
+use granitelb::brain::Brain;
+use granitelb::calls::Listing;
+use granitelb::ids::{CacheId, CellId, KindId, ZoneId};
+use granitelb::units::Time;
+use granitelb_settings::Names;
+
+use super::clients::{Clients, stable_hash};
+use super::exchange::{Exchanges, FinalAnswer};
+use super::servers::Servers;
+use super::watch::{Heard, Watch};
+use crate::protocol::{Entry, Listings, State};
+use crate::transport::Transport;
+
+pub struct Driver {
+    brain: Brain,
+    names: Names,
+}
+
+/// Everything that decisions are carried out on.
+pub struct Sides<'a> {
+    pub transport: &'a mut Transport,
+    pub exchanges: &'a mut Exchanges,
+    pub clients: &'a mut Clients,
+    pub servers: &'a mut Servers,
+    pub watch: &'a mut Watch,
+}
+
+impl Driver {
+    pub fn new(brain: Brain, names: Names) -> Driver {
+        Driver { brain, names }
+    }
+
+    /// The list as an earlier life of this node had it.
+    pub fn remembered(&mut self, sides: &mut Sides<'_>, now: Time, known: &Listings) {
+        let listings = self.listings(sides, known);
+        self.brain.caches_remembered(now, &listings);
+    }
+
+    pub fn heard(&mut self, sides: &mut Sides<'_>, now: Time, heard: &Heard) {
+        match heard {
+            Heard::Listed(list) => {
+                let listings = self.listings(sides, list);
+                self.brain.caches_listed(now, &listings, list.complete);
+            }
+            Heard::Lost => self.brain.list_failed(now),
+        }
+    }
+
+    /// Tells the server side where the caches are, and puts them in the module's words.
+    fn listings(&self, sides: &mut Sides<'_>, list: &Listings) -> Vec<Listing> {
+        let cache = |entry: &Entry| CacheId(stable_hash(entry.uid.as_bytes()));
+        if list.complete {
+            let named: BTreeSet<_> = list.entries.iter().map(cache).collect();
+            sides.servers.forget_others(sides.transport, |c| named.contains(&c));
+        }
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        let listings = list.entries.iter().map(|entry| {
+            let ready = entry.state == State::Active;
+            sides.servers.place(sides.transport, cache(entry), entry.endpoint, ready);
+            Listing {
+                cache: cache(entry),
+                kind: KindId(place(&self.names.kinds, &entry.kind) as u16),
+                size: entry.size,
+                zone: ZoneId(place(&self.names.zones, &entry.zone) as u16),
+                cell: CellId(entry.cell),
+                ready,
+                started: (entry.boot_ms != 0).then_some(Time(entry.boot_ms.saturating_mul(1000))),
+            }
+        });
+        listings.collect()
+    }
+
+    /// Tells what has happened and carries out what is decided, until nothing is left of either.
+    pub fn settle(&mut self, sides: &mut Sides<'_>, now: Time) {
+        loop {
+            let told = self.tell(sides, now);
+            let done = self.carry_out(sides, now);
+            if !told && !done {
+                return;
+            }
+        }
+    }
+
+    fn tell(&mut self, sides: &mut Sides<'_>, now: Time) -> bool {
+        let exchanges = &mut *sides.exchanges;
+        let mut told = false;
+        while let Some((id, end)) = exchanges.next_ended() {
+            self.brain.shot_ended(now, id, &end);
+            told = true;
+        }
+        while let Some((id, call)) = exchanges.next_arrived() {
+            self.brain.api_call(now, id, call);
+            told = true;
+        }
+        while let Some(id) = exchanges.next_left() {
+            self.brain.client_left(now, id);
+            told = true;
+        }
+        told
+    }
+
+    fn carry_out(&mut self, sides: &mut Sides<'_>, now: Time) -> bool {
+        let Sides { transport, exchanges, clients, servers, watch } = sides;
+        let mut done = false;
+        while let Some((id, number)) = self.brain.next_recall() {
+            servers.recall(transport, exchanges, now, id, number);
+            done = true;
+        }
+        while let Some(shot) = self.brain.next_shot(now) {
+            if let Some(number) = exchanges.shoot(shot.api_call) {
+                servers.send(transport, exchanges, now, &shot, number);
+            }
+            done = true;
+        }
+        while let Some((id, answer)) = self.brain.next_answer(now) {
+            exchanges.settle(id, FinalAnswer::Own(answer));
+            done = true;
+        }
+        while let Some((call, client, answer)) = exchanges.next_answer() {
+            clients.answer(transport, exchanges, now, (call, client), &answer);
+            done = true;
+        }
+        if self.brain.wants_watch(now)
+            && let Some(heard) = watch.ask(transport, now)
+        {
+            let mut sides = Sides { transport, exchanges, clients, servers, watch };
+            self.heard(&mut sides, now, &heard);
+            done = true;
+        }
+        done
+    }
+
+    /// When to settle again if nothing happens before.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        self.brain.next_wake(now)
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/exchange.rs
@@ -0,0 +1,147 @@
+//! Where the client side and the server side meet: an exchange is one API call, its shots and its answer.
+
+use std::collections::{HashMap, VecDeque};
+
+use granitelb::calls::{Answer, ApiCall, ShotEnd};
+use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
+use granitelb::units::Span;
+
+use super::outcome::ShotFate;
+use crate::protocol::Message;
+use crate::transport::ConnId;
+
+/// The one final answer of a call.
+pub enum FinalAnswer {
+    /// What a cache or the origin made for it.
+    Fulfilled(Message),
+    /// What the decisions say instead.
+    Own(Answer),
+    /// Nobody waits for one.
+    ClientLeft,
+}
+
+pub struct Exchange {
+    pub client: ConnId,
+    pub call: ApiCall,
+    /// What goes on to the caches.
+    pub message: Message,
+    shots: u8,
+    out: usize,
+    answer: Option<FinalAnswer>,
+    answered: bool,
+}
+
+/// All exchanges, and what happened in them that the driver or a side has yet to take up.
+#[derive(Default)]
+pub struct Exchanges {
+    open: HashMap<ApiCallId, Exchange>,
+    last: u64,
+    arrived: VecDeque<ApiCallId>,
+    left: VecDeque<ApiCallId>,
+    ended: VecDeque<(ApiCallId, ShotEnd)>,
+    answered: VecDeque<ApiCallId>,
+}
+
+/// The client side's part.
+impl Exchanges {
+    /// Opens an exchange for a call that was taken.
+    pub fn take(&mut self, client: ConnId, call: ApiCall, message: Message) -> ApiCallId {
+        self.last += 1;
+        let id = ApiCallId(self.last);
+        let exchange = Exchange { client, call, message, shots: 0, out: 0, answer: None, answered: false };
+        self.open.insert(id, exchange);
+        self.arrived.push_back(id);
+        id
+    }
+
+    /// The client is gone: no answer is owed any more.
+    pub fn leave(&mut self, id: ApiCallId) {
+        if self.settle(id, FinalAnswer::ClientLeft) {
+            self.left.push_back(id);
+        }
+    }
+
+    /// The next answer to give, and to whom.
+    pub fn next_answer(&mut self) -> Option<(ApiCallId, ConnId, FinalAnswer)> {
+        loop {
+            let id = self.answered.pop_front()?;
+            let taken = self.open.get_mut(&id).and_then(|e| Some((e.client, e.answer.take()?)));
+            self.clear(id);
+            if let Some((client, answer)) = taken {
+                return Some((id, client, answer));
+            }
+        }
+    }
+}
+
+/// The server side's part.
+impl Exchanges {
+    pub fn message(&self, id: ApiCallId) -> Option<&Message> {
+        self.open.get(&id).map(|e| &e.message)
+    }
+
+    /// A shot has ended, with the answer to the call if it brought one.
+    pub fn shot_ended(
+        &mut self,
+        id: ApiCallId,
+        number: ShotNumber,
+        cache: CacheId,
+        fate: ShotFate,
+        latency: Span,
+    ) {
+        let (outcome, answer) = fate.into_outcome();
+        if let Some(answer) = answer {
+            self.settle(id, FinalAnswer::Fulfilled(answer));
+        }
+        let Some(exchange) = self.open.get_mut(&id) else { return };
+        exchange.out = exchange.out.saturating_sub(1);
+        let end = ShotEnd { number, cache, outcome, latency, answered: exchange.answered };
+        self.ended.push_back((id, end));
+        self.clear(id);
+    }
+}
+
+/// The driver's part.
+impl Exchanges {
+    pub fn next_arrived(&mut self) -> Option<(ApiCallId, ApiCall)> {
+        let id = self.arrived.pop_front()?;
+        self.open.get(&id).map(|e| (id, e.call))
+    }
+
+    pub fn next_left(&mut self) -> Option<ApiCallId> {
+        self.left.pop_front()
+    }
+
+    pub fn next_ended(&mut self) -> Option<(ApiCallId, ShotEnd)> {
+        self.ended.pop_front()
+    }
+
+    /// The gate of every shot: its number, unless the call has its answer.
+    pub fn shoot(&mut self, id: ApiCallId) -> Option<ShotNumber> {
+        let exchange = self.open.get_mut(&id).filter(|e| !e.answered)?;
+        let number = ShotNumber(exchange.shots);
+        exchange.shots += 1;
+        exchange.out += 1;
+        Some(number)
+    }
+
+    /// The gate of every final answer: the first one stands.
+    pub fn settle(&mut self, id: ApiCallId, answer: FinalAnswer) -> bool {
+        let Some(exchange) = self.open.get_mut(&id).filter(|e| !e.answered) else { return false };
+        exchange.answered = true;
+        exchange.answer = Some(answer);
+        self.answered.push_back(id);
+        true
+    }
+
+    /// Calls that wait for an answer.
+    pub fn unanswered(&self) -> usize {
+        self.open.values().filter(|e| !e.answered).count()
+    }
+
+    fn clear(&mut self, id: ApiCallId) {
+        if self.open.get(&id).is_some_and(|e| e.answered && e.answer.is_none() && e.out == 0) {
+            self.open.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/mod.rs
@@ -0,0 +1,13 @@
+//! The layer that joins clients, caches and discovery to the decisions. Nothing is decided here: the client side
+//! and the server side know only the exchanges between them, and the driver carries what happened to the
+//! [`Brain`](granitelb::brain::Brain) and what it decides back.
+
+mod clients;
+mod driver;
+mod exchange;
+mod node;
+mod outcome;
+mod servers;
+mod watch;
+
+pub use node::{Node, Setup};
--- /dev/null
+++ b/crates/node/src/routing/node.rs
@@ -0,0 +1,223 @@
+//! The loop: waits for events, hands each to whoever it is for, and settles what follows.
+
+use std::io;
+use std::net::SocketAddr;
+
+use granitelb::brain::Brain;
+use granitelb::units::{Span, Time};
+use granitelb_settings::Decoded;
+use rustix::event::epoll::EventFlags;
+use rustix::fd::AsFd;
+
+use super::clients::Clients;
+use super::driver::{Driver, Sides};
+use super::exchange::Exchanges;
+use super::servers::Servers;
+use super::watch::Watch;
+use crate::protocol::Listings;
+use crate::transport::{ConnId, Event, Listener, Owner, Transport};
+
+const LISTENER: Owner = Owner(0);
+const CLIENTS: Owner = Owner(1);
+const SERVERS: Owner = Owner(2);
+const DISCOVERY: Owner = Owner(3);
+const STOP: Owner = Owner(4);
+
+/// Descriptors that are no connections: standard streams, epoll, the listener, the stop signal's pair, and a few
+/// that a library may open for a moment.
+const OWN_DESCRIPTORS: usize = 24;
+/// Descriptors that are kept free for shots, by closing what is idle.
+const KEPT_FREE: usize = 16;
+/// New connections taken in one turn: calls that wait must not be kept waiting by a crowd at the door.
+const ACCEPTED_A_TURN: usize = 64;
+/// After a stop signal clients may go on coming for 0.4 s; then nobody is sent here any more.
+const COMING: Span = Span::from_millis(500);
+/// Whoever came at the last moment may need so long to have its first bytes here.
+const LAST_BYTES: Span = Span::from_millis(100);
+/// How long past the longest client timeout a stopping node stays for its calls: within the 0.7 s that it has.
+const STAYS: Span = Span::from_millis(450);
+/// A listener without room is asked again after this.
+const FULL: Span = Span::from_millis(20);
+
+/// What a node is made from.
+pub struct Setup {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub descriptors: usize,
+    pub known: Option<Listings>,
+    pub settings: Decoded,
+}
+
+pub struct Node {
+    transport: Transport,
+    listener: Option<Listener>,
+    exchanges: Exchanges,
+    clients: Clients,
+    servers: Servers,
+    watch: Watch,
+    driver: Driver,
+    /// When the stop signal came.
+    stopping: Option<Time>,
+    /// Whether the connections that stood idle have been ended since.
+    idle_closed: bool,
+    longest_call: Span,
+    /// When connections that had no room are looked for again.
+    full_until: Option<Time>,
+}
+
+impl Node {
+    pub fn open(setup: Setup) -> io::Result<Node> {
+        let descriptors = setup.descriptors.saturating_sub(OWN_DESCRIPTORS).max(8);
+        let mut transport = Transport::new(descriptors)?;
+        let listener = Listener::open(&mut transport, setup.listen, LISTENER)?;
+        let now = transport.now();
+        let Decoded { decisions, names, client_timeouts, connect_limit, keepalive } = setup.settings;
+        let longest_call = client_timeouts.iter().copied().max().unwrap_or_default();
+        let brain = Brain::new(decisions, setup.seed, now);
+        let revision = setup.known.as_ref().map(|k| k.revision);
+        let mut node = Node {
+            clients: Clients::new(CLIENTS, descriptors, names.clone(), client_timeouts),
+            servers: Servers::new(SERVERS, connect_limit, keepalive),
+            watch: Watch::new(DISCOVERY, setup.discovery, revision),
+            driver: Driver::new(brain, names),
+            exchanges: Exchanges::default(),
+            listener: Some(listener),
+            transport,
+            stopping: None,
+            idle_closed: false,
+            longest_call,
+            full_until: None,
+        };
+        if let Some(known) = &setup.known {
+            let (driver, mut sides) = node.parts();
+            driver.remembered(&mut sides, now, known);
+        }
+        Ok(node)
+    }
+
+    fn parts(&mut self) -> (&mut Driver, Sides<'_>) {
+        let Node { driver, transport, exchanges, clients, servers, watch, .. } = self;
+        (driver, Sides { transport, exchanges, clients, servers, watch })
+    }
+
+    /// Serves until `stop` can be read from, and then until what was taken is answered.
+    pub fn serve(mut self, stop: impl AsFd) -> io::Result<()> {
+        self.transport.register(&stop, STOP, EventFlags::IN | EventFlags::ONESHOT)?;
+        let mut now = self.transport.now();
+        loop {
+            let (driver, mut sides) = self.parts();
+            driver.settle(&mut sides, now);
+            if self.has_ended(now) {
+                return Ok(());
+            }
+            let until = self.next_wake(now);
+            let events = self.transport.wait(until)?;
+            now = self.transport.now();
+            self.turn(now, &events);
+        }
+    }
+
+    fn turn(&mut self, now: Time, events: &[Event]) {
+        for event in events {
+            match event.id.owner() {
+                CLIENTS => self.clients.event(&mut self.transport, &mut self.exchanges, now, *event),
+                SERVERS => self.servers.event(&mut self.transport, &mut self.exchanges, now, *event),
+                LISTENER => self.accept(now),
+                DISCOVERY => {
+                    let mut heard = Vec::new();
+                    self.watch.event(&mut self.transport, now, *event, &mut heard);
+                    let (driver, mut sides) = self.parts();
+                    heard.iter().for_each(|h| driver.heard(&mut sides, now, h));
+                }
+                STOP => {
+                    log::info!("stopping: finishing what was taken");
+                    self.stopping = Some(now);
+                    self.clients.begin_closing();
+                }
+                _ => {}
+            }
+        }
+        while let Some(id) = self.transport.timers.due(now) {
+            self.timer(now, id);
+        }
+        if self.full_until.is_some_and(|at| at <= now) {
+            self.full_until = None;
+            self.accept(now);
+        }
+        self.keep_room();
+        let since = self.stopping.map_or(Span::ZERO, |at| now - at);
+        if self.listener.is_some() && since >= COMING {
+            // Whoever has come is still taken in.
+            self.accept(now);
+            self.listener = None;
+        }
+        if !self.idle_closed && since >= COMING + LAST_BYTES {
+            self.idle_closed = true;
+            self.clients.close_idle(&mut self.transport, &mut self.exchanges, now);
+        }
+    }
+
+    fn timer(&mut self, now: Time, id: ConnId) {
+        match id.owner() {
+            CLIENTS => self.clients.timer(&mut self.transport, &mut self.exchanges, now, id),
+            SERVERS => self.servers.timer(&mut self.transport, &mut self.exchanges, now, id),
+            DISCOVERY => {
+                let mut heard = Vec::new();
+                self.watch.timer(&mut self.transport, &mut heard);
+                let (driver, mut sides) = self.parts();
+                heard.iter().for_each(|h| driver.heard(&mut sides, now, h));
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in those who have come, as far as there is room.
+    fn accept(&mut self, now: Time) {
+        let Some(listener) = &mut self.listener else { return };
+        for _ in 0..ACCEPTED_A_TURN {
+            if self.clients.is_full() || self.transport.room() <= KEPT_FREE {
+                // A crowd must not spin the loop: it waits at the door until there is room.
+                listener.pause(&self.transport, true);
+                self.full_until = Some(now + FULL);
+                return;
+            }
+            if !self.clients.accept(&mut self.transport, listener, now) {
+                break;
+            }
+        }
+        listener.pause(&self.transport, false);
+    }
+
+    /// Closes what is idle for longest while descriptors are short.
+    fn keep_room(&mut self) {
+        while self.transport.room() <= KEPT_FREE || self.clients.is_full() {
+            let Some(id) = self.transport.idle_longest() else { return };
+            match id.owner() {
+                CLIENTS => self.clients.evict(&mut self.transport, id),
+                _ => self.servers.evict(&mut self.transport, id),
+            }
+        }
+    }
+
+    fn next_wake(&self, now: Time) -> Option<Time> {
+        let step = match (&self.listener, self.idle_closed) {
+            (Some(_), _) => COMING,
+            (None, false) => COMING + LAST_BYTES,
+            (None, true) => self.longest_call + STAYS,
+        };
+        let stopping = self.stopping.map(|at| at + step);
+        let wakes = [self.driver.next_wake(now), self.transport.timers.first(), stopping, self.full_until];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// Whether a stopping node has nothing left to do, or no time.
+    fn has_ended(&self, now: Time) -> bool {
+        let Some(at) = self.stopping else { return false };
+        let late = now - at >= self.longest_call + STAYS;
+        if late {
+            log::warn!("stopping with {} calls unanswered", self.exchanges.unanswered());
+        }
+        late || self.idle_closed && self.clients.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/outcome.rs
@@ -0,0 +1,55 @@
+//! The one place where what became of a shot is put in the module's words.
+
+use granitelb::calls::Outcome;
+
+use crate::protocol::Message;
+use crate::transport::End;
+
+/// What became of a shot.
+pub enum ShotFate {
+    /// An answer came, whole.
+    Answered(Message),
+    /// Its connection ended first; `whole` tells whether the shot had been written to its last byte.
+    Lost { end: End, whole: bool },
+}
+
+impl ShotFate {
+    /// What the decisions hear of it, and the answer for the client, if it is one.
+    pub fn into_outcome(self) -> (Outcome, Option<Message>) {
+        match self {
+            ShotFate::Answered(message) => {
+                let outcome = of_answer(&message);
+                let fulfilled = matches!(outcome, Outcome::Fulfilled | Outcome::Fetched);
+                (outcome, fulfilled.then_some(message))
+            }
+            ShotFate::Lost { end, whole } => (of_end(end, whole), None),
+        }
+    }
+}
+
+fn of_answer(answer: &Message) -> Outcome {
+    let word = answer.head.text("x-cache-status").unwrap_or_default();
+    let unseen = answer.head.text("x-not-processed") == Some("1");
+    match answer.head.status {
+        200 if word.eq_ignore_ascii_case("miss") => Outcome::Fetched,
+        200 => Outcome::Fulfilled,
+        404 => Outcome::Lacking,
+        503 | 504 if unseen => Outcome::Full,
+        // It was not said that nothing was done.
+        _ => Outcome::Errored,
+    }
+}
+
+fn of_end(end: End, whole: bool) -> Outcome {
+    match end {
+        // Before any connection was tried: nothing is learnt of the cache.
+        End::NoDescriptor => Outcome::Moot,
+        End::Recalled => Outcome::Recalled,
+        End::GivenUp | End::Silent => Outcome::TimedOut,
+        // A shot that was not written to its end never runs.
+        End::Refused | End::NeverUp => Outcome::Unreachable,
+        _ if !whole => Outcome::Unreachable,
+        End::Malformed => Outcome::Errored,
+        End::Closed | End::Broken | End::Done => Outcome::Reset,
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/servers.rs
@@ -0,0 +1,232 @@
+//! The server side: connections to the caches and the origin, and the shots on them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use granitelb::calls::Shot;
+use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
+use granitelb::units::{Span, Time};
+
+use super::exchange::Exchanges;
+use super::outcome::ShotFate;
+use crate::protocol::{Assembler, Side, write_call};
+use crate::transport::{ConnId, Connection, End, Event, Owner, Transport};
+
+/// An idle connection is closed after this share of the time after which a cache may close it: what is written
+/// to one that is just being closed is lost.
+const IDLE_SHARE: f64 = 0.7;
+
+/// Where a cache is, and its connections that wait for work, the one used last at the end.
+struct Place {
+    endpoint: SocketAddr,
+    wanted: bool,
+    idle: Vec<ConnId>,
+}
+
+/// The shot that a connection is for.
+struct Carried {
+    call: ApiCallId,
+    number: ShotNumber,
+    sent: Time,
+    give_up: Time,
+}
+
+struct Link {
+    connection: Connection,
+    answers: Assembler,
+    cache: CacheId,
+    endpoint: SocketAddr,
+    up_by: Time,
+    shot: Option<Carried>,
+}
+
+pub struct Servers {
+    owner: Owner,
+    places: BTreeMap<CacheId, Place>,
+    links: HashMap<ConnId, Link>,
+    carriers: HashMap<(ApiCallId, ShotNumber), ConnId>,
+    connect_limit: Span,
+    keepalive: Span,
+}
+
+impl Servers {
+    pub fn new(owner: Owner, connect_limit: Span, keepalive: Span) -> Servers {
+        Servers {
+            owner,
+            places: BTreeMap::new(),
+            links: HashMap::new(),
+            carriers: HashMap::new(),
+            connect_limit,
+            keepalive: keepalive.scaled(IDLE_SHARE),
+        }
+    }
+
+    /// Takes up where a cache is, and whether it is to get anything new.
+    pub fn place(&mut self, transport: &mut Transport, cache: CacheId, endpoint: SocketAddr, wanted: bool) {
+        let place = self.places.entry(cache).or_insert(Place { endpoint, wanted, idle: Vec::new() });
+        let moved = place.endpoint != endpoint;
+        (place.endpoint, place.wanted) = (endpoint, wanted);
+        if moved || !wanted {
+            for id in std::mem::take(&mut place.idle) {
+                self.drop_link(transport, id, End::Done);
+            }
+        }
+    }
+
+    /// A whole list does not name these any more.
+    pub fn forget_others(&mut self, transport: &mut Transport, named: impl Fn(CacheId) -> bool) {
+        let gone: Vec<_> =
+            self.places.iter().filter(|(c, _)| !named(**c)).map(|(c, p)| (*c, p.endpoint)).collect();
+        for (cache, endpoint) in gone {
+            self.place(transport, cache, endpoint, false);
+        }
+    }
+
+    /// Sends a shot on an idle connection, or on a new one.
+    pub fn send(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        shot: &Shot,
+        number: ShotNumber,
+    ) {
+        let fail = |exchanges: &mut Exchanges, end| {
+            let fate = ShotFate::Lost { end, whole: false };
+            exchanges.shot_ended(shot.api_call, number, shot.cache, fate, Span::ZERO);
+        };
+        let Some(place) = self.places.get_mut(&shot.cache) else { return fail(exchanges, End::Refused) };
+        let endpoint = place.endpoint;
+        let id = match place.idle.pop() {
+            Some(id) => id,
+            None => match Connection::begin(transport, endpoint, self.owner) {
+                Ok(connection) => {
+                    let id = connection.id;
+                    let answers = Assembler::new(Side::Answering);
+                    let up_by = now + self.connect_limit;
+                    let (cache, shot) = (shot.cache, None);
+                    self.links.insert(id, Link { connection, answers, cache, endpoint, up_by, shot });
+                    id
+                }
+                Err(end) => return fail(exchanges, end),
+            },
+        };
+        let (Some(link), Some(message)) = (self.links.get_mut(&id), exchanges.message(shot.api_call)) else {
+            return fail(exchanges, End::Refused);
+        };
+        transport.busy(id);
+        write_call(&mut link.connection.output, message, shot.give_up_after.0 / 1000);
+        let give_up = now + shot.give_up_after;
+        link.shot = Some(Carried { call: shot.api_call, number, sent: now, give_up });
+        self.carriers.insert((shot.api_call, number), id);
+        let up = link.connection.is_up();
+        transport.timers.set(id, if up { give_up } else { give_up.min(link.up_by) });
+        self.go_on(transport, exchanges, now, id);
+    }
+
+    /// Calls a shot off.
+    pub fn recall(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        call: ApiCallId,
+        number: ShotNumber,
+    ) {
+        if let Some(id) = self.carriers.get(&(call, number)).copied() {
+            self.end(transport, exchanges, now, id, End::Recalled);
+        }
+    }
+
+    pub fn event(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, event: Event) {
+        let Some(link) = self.links.get_mut(&event.id) else { return };
+        if !link.connection.is_up() {
+            if let Err(end) = link.connection.come_up() {
+                return self.end(transport, exchanges, now, event.id, end);
+            }
+            if let Some(shot) = link.shot.as_ref().filter(|_| link.connection.is_up()) {
+                transport.timers.set(event.id, shot.give_up);
+            }
+        }
+        if event.readable {
+            link.connection.receive();
+        }
+        self.go_on(transport, exchanges, now, event.id);
+    }
+
+    pub fn timer(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
+        let Some(link) = self.links.get(&id) else { return };
+        let end = match &link.shot {
+            None => End::Done,
+            Some(shot) if shot.give_up > now => End::NeverUp,
+            Some(_) => End::GivenUp,
+        };
+        self.end(transport, exchanges, now, id, end);
+    }
+
+    /// Closes an idle connection to make room.
+    pub fn evict(&mut self, transport: &mut Transport, id: ConnId) {
+        if let Some(place) = self.links.get(&id).and_then(|l| self.places.get_mut(&l.cache)) {
+            place.idle.retain(|i| *i != id);
+        }
+        self.drop_link(transport, id, End::Done);
+    }
+
+    /// Writes what is to be written and reads what has come.
+    fn go_on(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let connection = &mut link.connection;
+        let written = connection.flush();
+        loop {
+            let answer = match link.answers.next(&mut connection.input) {
+                Ok(Some(answer)) => Some(answer),
+                Ok(None) => {
+                    connection.ended().filter(|e| *e == End::Closed).and_then(|_| link.answers.finish())
+                }
+                Err(_) => return self.end(transport, exchanges, now, id, End::Malformed),
+            };
+            let Some(answer) = answer else { break };
+            let Some(shot) = link.shot.take() else {
+                // Nobody asked.
+                return self.end(transport, exchanges, now, id, End::Malformed);
+            };
+            self.carriers.remove(&(shot.call, shot.number));
+            let clean = answer.head.keeps && connection.output.is_empty() && connection.input.is_empty();
+            let usable = clean && connection.ended().is_none() && written.is_ok();
+            let fate = ShotFate::Answered(answer);
+            exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
+            let place = self.places.get_mut(&link.cache);
+            let Some(place) = place.filter(|p| usable && p.wanted && p.endpoint == link.endpoint) else {
+                return self.drop_link(transport, id, End::Done);
+            };
+            place.idle.push(id);
+            transport.idle(id, now);
+            transport.timers.set(id, now + self.keepalive);
+        }
+        if let Some(end) = connection.ended().or(written.err()) {
+            return self.end(transport, exchanges, now, id, end);
+        }
+        connection.rearm(transport);
+    }
+
+    /// A connection ends, and with it the shot on it.
+    fn end(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId, end: End) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if let Some(shot) = link.shot.take() {
+            let whole = link.connection.is_up() && link.connection.output.is_empty();
+            self.carriers.remove(&(shot.call, shot.number));
+            let fate = ShotFate::Lost { end, whole };
+            exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
+        } else if let Some(place) = self.places.get_mut(&link.cache) {
+            place.idle.retain(|i| *i != id);
+        }
+        self.drop_link(transport, id, end);
+    }
+
+    fn drop_link(&mut self, transport: &mut Transport, id: ConnId, end: End) {
+        if let Some(link) = self.links.remove(&id) {
+            log::debug!("connection to {} ended: {end:?}", link.endpoint);
+            link.connection.close(transport);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/routing/watch.rs
@@ -0,0 +1,155 @@
+//! The watch on discovery's list.
+
+use std::net::SocketAddr;
+
+use granitelb::units::{Span, Time};
+
+use crate::protocol::{Listings, Piece, Reader, Side};
+use crate::transport::{Connection, End, Event, Owner, Transport};
+
+/// A line comes every two seconds at least: after two and a half such times without one the watch is lost, and
+/// can be asked for again before what it missed counts as told.
+const SILENCE: Span = Span::from_millis(5000);
+/// A list of this many bytes is not one of caches.
+const MOST_LINE: usize = 4 * 1024 * 1024;
+
+pub enum Heard {
+    Listed(Listings),
+    /// The watch could not be had, or is lost.
+    Lost,
+}
+
+struct Open {
+    connection: Connection,
+    reader: Reader,
+    answered: bool,
+    line: Vec<u8>,
+}
+
+pub struct Watch {
+    owner: Owner,
+    discovery: SocketAddr,
+    host: String,
+    revision: Option<u64>,
+    open: Option<Open>,
+    /// Whether anything was heard on this watch.
+    stands: bool,
+}
+
+impl Watch {
+    pub fn new(owner: Owner, discovery: SocketAddr, revision: Option<u64>) -> Watch {
+        Watch { owner, discovery, host: discovery.to_string(), revision, open: None, stands: false }
+    }
+
+    /// Asks for a watch, in place of one that was not answered.
+    pub fn ask(&mut self, transport: &mut Transport, now: Time) -> Option<Heard> {
+        if self.stands {
+            return None;
+        }
+        self.close(transport, End::GivenUp);
+        let mut connection = match Connection::begin(transport, self.discovery, self.owner) {
+            Ok(connection) => connection,
+            Err(end) => {
+                log::warn!("discovery can't be reached: {end:?}");
+                return Some(Heard::Lost);
+            }
+        };
+        let after = self.revision.map(|r| format!("&after={r}")).unwrap_or_default();
+        let text = format!("GET /registry/instances?watch=1{after} HTTP/1.1\r\nHost: {}\r\n\r\n", self.host);
+        connection.output.push(text.as_bytes());
+        transport.timers.set(connection.id, now + SILENCE);
+        let reader = Reader::new(Side::Answering);
+        self.open = Some(Open { connection, reader, answered: false, line: Vec::new() });
+        None
+    }
+
+    pub fn event(&mut self, transport: &mut Transport, now: Time, event: Event, heard: &mut Vec<Heard>) {
+        if let Err(end) = self.go_on(transport, now, event, heard) {
+            self.lose(transport, end, heard);
+        }
+    }
+
+    pub fn timer(&mut self, transport: &mut Transport, heard: &mut Vec<Heard>) {
+        self.lose(transport, End::Silent, heard);
+    }
+
+    fn lose(&mut self, transport: &mut Transport, end: End, heard: &mut Vec<Heard>) {
+        log::warn!("the watch on the list is lost: {end:?}");
+        self.close(transport, end);
+        heard.push(Heard::Lost);
+    }
+
+    fn close(&mut self, transport: &mut Transport, end: End) {
+        self.stands = false;
+        if let Some(open) = self.open.take() {
+            log::debug!("connection to discovery ended: {end:?}");
+            open.connection.close(transport);
+        }
+    }
+
+    fn go_on(
+        &mut self,
+        transport: &mut Transport,
+        now: Time,
+        event: Event,
+        heard: &mut Vec<Heard>,
+    ) -> Result<(), End> {
+        let Some(open) = self.open.as_mut().filter(|o| o.connection.id == event.id) else { return Ok(()) };
+        open.connection.come_up()?;
+        open.connection.flush()?;
+        if event.readable {
+            open.connection.receive();
+        }
+        while let Some(piece) = open.reader.next(&mut open.connection.input).map_err(|_| End::Malformed)? {
+            match piece {
+                Piece::Head(head) if head.status == 200 => open.answered = true,
+                Piece::Head(head) => {
+                    log::warn!("discovery answers {}", head.status);
+                    return Err(End::Closed);
+                }
+                Piece::End if open.answered => return Err(End::Closed),
+                Piece::End => {}
+                Piece::Body(part) => {
+                    open.line.extend(part);
+                    transport.timers.set(open.connection.id, now + SILENCE);
+                    while let Some(end) = open.line.iter().position(|b| *b == b'\n') {
+                        let line: Vec<u8> = open.line.drain(..=end).collect();
+                        let first = !self.stands;
+                        self.stands = true;
+                        if let Some(listings) = read_line(line.trim_ascii(), first) {
+                            self.revision = Some(listings.revision).filter(|r| *r > 0).or(self.revision);
+                            heard.push(Heard::Listed(listings));
+                        }
+                    }
+                    if open.line.len() > MOST_LINE {
+                        return Err(End::Malformed);
+                    }
+                }
+            }
+        }
+        if let Some(end) = open.connection.ended() {
+            return Err(end);
+        }
+        open.connection.rearm(transport);
+        Ok(())
+    }
+}
+
+/// What a line of the watch says. That there is a first one says that the watch stands.
+fn read_line(line: &[u8], first: bool) -> Option<Listings> {
+    if line.is_empty() {
+        return first.then(Listings::default);
+    }
+    match Listings::read(line) {
+        Ok(listings) => {
+            for skipped in &listings.skipped {
+                log::warn!("an entry of the list was passed over: {skipped}");
+            }
+            Some(listings)
+        }
+        Err(trouble) => {
+            log::warn!("a line of the list was passed over: {trouble}");
+            first.then(Listings::default)
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/transport/poller.rs
@@ -0,0 +1,143 @@
+//! The epoll instance, and what all connections share: their timers and the budget of descriptors.
+
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+
+use granitelb::units::Time;
+use rustix::event::{Timespec, epoll};
+use rustix::fd::{AsFd, OwnedFd};
+
+use super::Clock;
+use super::timers::Timers;
+
+/// Which part of the program a descriptor belongs to; the layer above numbers its parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner(pub u8);
+
+/// A registered descriptor. Numbers are never used again, so that an event for one that was closed in the same
+/// turn finds nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(u64);
+
+impl ConnId {
+    pub fn owner(self) -> Owner {
+        Owner(self.0 as u8)
+    }
+}
+
+/// What epoll says of a descriptor.
+#[derive(Clone, Copy, Debug)]
+pub struct Event {
+    pub id: ConnId,
+    pub readable: bool,
+}
+
+/// Events taken in one turn: enough to empty most queues, few enough that timers are not kept waiting.
+const EVENTS: usize = 256;
+
+pub struct Transport {
+    epoll: OwnedFd,
+    pub clock: Clock,
+    pub timers: Timers,
+    next: u64,
+    /// Connections that are open, and how many may be.
+    open: usize,
+    most: usize,
+    /// Connections that could be closed without loss, the one idle for longest first.
+    idle: BTreeSet<(Time, ConnId)>,
+    idle_since: HashMap<ConnId, Time>,
+    events: Vec<epoll::Event>,
+}
+
+impl Transport {
+    pub fn new(most: usize) -> io::Result<Transport> {
+        Ok(Transport {
+            epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            clock: Clock::start(),
+            timers: Timers::default(),
+            next: 0,
+            open: 0,
+            most,
+            idle: BTreeSet::new(),
+            idle_since: HashMap::new(),
+            events: Vec::with_capacity(EVENTS),
+        })
+    }
+
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Waits for events until this point in time at the latest.
+    pub fn wait(&mut self, until: Option<Time>) -> io::Result<Vec<Event>> {
+        let timeout = until.map(|at| {
+            let left = (at - self.now()).0;
+            // Rounded up, lest the last part of a millisecond be spent in turns without an event.
+            Timespec { tv_sec: (left / 1_000_000) as i64, tv_nsec: (left % 1_000_000 * 1000) as _ }
+        });
+        self.events.clear();
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.events), timeout.as_ref()) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(trouble) => return Err(trouble.into()),
+        }
+        let events = self.events.iter().map(|event| {
+            let flags = event.flags;
+            let over = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
+            Event {
+                id: ConnId(event.data.u64()),
+                readable: over || flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP),
+            }
+        });
+        Ok(events.collect())
+    }
+
+    /// Registers a descriptor; closing it ends that.
+    pub fn register(&mut self, fd: impl AsFd, owner: Owner, flags: epoll::EventFlags) -> io::Result<ConnId> {
+        self.next += 1;
+        let id = ConnId(self.next << 8 | u64::from(owner.0));
+        epoll::add(&self.epoll, fd, epoll::EventData::new_u64(id.0), flags)?;
+        Ok(id)
+    }
+
+    pub(super) fn modify(&self, fd: impl AsFd, id: ConnId, flags: epoll::EventFlags) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(id.0), flags)?)
+    }
+
+    /// How many more connections there may be.
+    pub fn room(&self) -> usize {
+        self.most.saturating_sub(self.open)
+    }
+
+    /// Fewer descriptors are to be had than was thought.
+    pub(super) fn ran_out(&mut self) {
+        self.most = self.most.min(self.open);
+    }
+
+    pub(super) fn opened(&mut self) {
+        self.open += 1;
+    }
+
+    pub(super) fn closed(&mut self, id: ConnId) {
+        self.open -= 1;
+        self.timers.clear(id);
+        self.busy(id);
+    }
+
+    /// Notes that a connection could now be closed without loss.
+    pub fn idle(&mut self, id: ConnId, now: Time) {
+        self.busy(id);
+        self.idle_since.insert(id, now);
+        self.idle.insert((now, id));
+    }
+
+    pub fn busy(&mut self, id: ConnId) {
+        if let Some(since) = self.idle_since.remove(&id) {
+            self.idle.remove(&(since, id));
+        }
+    }
+
+    /// The connection that has been idle for longest.
+    pub fn idle_longest(&self) -> Option<ConnId> {
+        self.idle.first().map(|i| i.1)
+    }
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,10 +1,35 @@
-//! Decodes the settings text; keys that are not read are skipped.
+//! Decodes the settings text, for the simulator's adapter and for the real node alike; keys that are not read
+//! are skipped.
 
 use granitelb::ids::KindId;
 use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
 use granitelb::units::Span;
 use serde::Deserialize;
 
+/// What the settings say to the decisions, and what they say to whoever hosts them on sockets.
+pub struct Decoded {
+    pub decisions: Settings,
+    pub names: Names,
+    /// Each product's client timeout, for a call that names none.
+    pub client_timeouts: Vec<Span>,
+    /// A connection that is not up by then never will be.
+    pub connect_limit: Span,
+    /// How long a cache keeps an idle connection.
+    pub keepalive: Span,
+}
+
+/// Names by the numbers that stand for them.
+#[derive(Clone, Default)]
+pub struct Names {
+    pub products: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// Where the settings are wrong, and how.
+pub type Fault = serde_path_to_error::Error<serde_json::Error>;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Params {
@@ -13,6 +38,10 @@
     bounds: Bounds,
     #[serde(default)]
     discovery: String,
+    #[serde(default)]
+    shapes: Vec<String>,
+    #[serde(default)]
+    zones: Vec<String>,
     products: Vec<ProductParams>,
     rules: Rules,
     #[serde(default = "one")]
@@ -28,6 +57,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Bounds {
+    connect_timeout_us: u64,
+    keepalive_us: u64,
     max_retry_after_us: u64,
     may_cancel: bool,
     most_shots: u8,
@@ -36,9 +67,11 @@
 }
 
 impl Default for Bounds {
-    /// Nothing is allowed that is not said to be.
+    /// Nothing is allowed that is not said to be; the times are common ones.
     fn default() -> Bounds {
         Bounds {
+            connect_timeout_us: 250_000,
+            keepalive_us: 10_000_000,
             max_retry_after_us: 0,
             may_cancel: false,
             most_shots: 1,
@@ -53,6 +86,9 @@
 struct ProductParams {
     #[serde(default = "one_f")]
     billed_value: f64,
+    client_timeout_us: u64,
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     dedup_scope: String,
     effect: String,
@@ -81,6 +117,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -93,8 +131,8 @@
     1.0
 }
 
-pub fn decode(text: &[u8]) -> Result<Settings, serde_json::Error> {
-    let params: Params = serde_json::from_slice(text)?;
+pub fn decode(text: &[u8]) -> Result<Decoded, Fault> {
+    let params: Params = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))?;
     let origin = u16::try_from(params.specifics.origin_kind).ok().map(KindId);
     let mode = match (params.specifics.mode.as_str(), origin) {
         ("aside", Some(origin)) => Mode::Aside { origin },
@@ -102,7 +140,7 @@
     };
     let bounds = params.bounds;
     let rules = params.rules;
-    Ok(Settings {
+    let decisions = Settings {
         mode,
         products: params.products.iter().map(product).collect(),
         quotas_per_s: params.tenants.iter().map(|t| t.quota_per_s).collect(),
@@ -120,6 +158,18 @@
         value_by_work: params.billed_value_per == "work",
         live_sizes: params.weight_kind == "live",
         steady_sizes: matches!(params.weight_kind.as_str(), "nominal" | "rough"),
+    };
+    Ok(Decoded {
+        decisions,
+        client_timeouts: params.products.iter().map(|p| Span(p.client_timeout_us)).collect(),
+        connect_limit: Span(bounds.connect_timeout_us),
+        keepalive: Span(bounds.keepalive_us),
+        names: Names {
+            products: params.products.into_iter().map(|p| p.name).collect(),
+            tenants: params.tenants.into_iter().map(|t| t.name).collect(),
+            zones: params.zones,
+            kinds: params.shapes,
+        },
     })
 }
 
