--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,13 +1,5 @@
-//! granitelb's real node. The layers, each using only those below it: `program`, `routing`, `protocol`,
-//! `transport`.
+//! The binary; all of it is in the library beside it, so that tests can reach the parts.
 
-mod program;
-mod protocol;
-mod routing;
-mod transport;
-
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    program::run()
+fn main() -> std::process::ExitCode {
+    granitelb_node::program::run()
 }
--- a/crates/node/src/protocol/reader.rs
+++ b/crates/node/src/protocol/reader.rs
@@ -3,8 +3,9 @@
 use super::message::{Fault, Head, Message, Side};
 use crate::transport::Ring;
 
-/// A start line and headers may take this much together, and there may be so many: common limits.
-const MOST_HEAD: usize = 16 * 1024;
+/// A start line and headers may take this much together, and there may be so many: common limits, and less than
+/// a connection's input holds.
+const MOST_HEAD: usize = 8 * 1024;
 const MOST_HEADERS: usize = 100;
 /// A chunk's size line, with its extensions.
 const MOST_SIZE_LINE: usize = 1024;
@@ -297,7 +298,7 @@
                     if announced > MOST_BODY {
                         return Err(Fault::BodyTooLong);
                     }
-                    self.message = Some(Message { head, body: Vec::new() });
+                    self.message = Some(Message { head, body: Vec::with_capacity(announced) });
                 }
                 Piece::Body(part) => {
                     let Some(message) = &mut self.message else { return Err(Fault::Malformed) };
@@ -309,7 +310,8 @@
                 Piece::End => {
                     // Word that an answer is on its way is not yet the answer.
                     let whole = self.message.take();
-                    if let Some(message) = whole.filter(|m| !(100..200).contains(&m.head.status)) {
+                    if let Some(mut message) = whole.filter(|m| !(100..200).contains(&m.head.status)) {
+                        message.body.shrink_to_fit();
                         return Ok(Some(message));
                     }
                 }
--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -1,6 +1,6 @@
 //! The client side: takes API calls from clients' connections and gives the answers back.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use granitelb::calls::{Answer, ApiCall};
 use granitelb::ids::{ApiCallId, Key, ProductId, TenantId};
@@ -15,9 +15,14 @@
 const STALL: Span = Span::from_millis(10_000);
 /// An idle client is let go after this: one whose machine has vanished never says so.
 const IDLE: Span = Span::from_millis(120_000);
-/// Descriptors that clients leave free, of those there are: each call can then have a shot out, and a few
-/// shots of calls that have ended may be out besides.
-const LEFT_FREE: f64 = 0.55;
+/// The share of descriptors that clients may take: each call can then have a shot out, and some shots of calls
+/// that have ended may be out besides.
+const CLIENTS_SHARE: f64 = 0.4;
+/// The share for those beyond, who are told at once to come again: left at the door their calls would be lost.
+const BEYOND_SHARE: f64 = 0.1;
+/// How long one that was turned away may go on sending before its connection is cut: cut at once, the answer
+/// could be lost on its way.
+const LINGER: Span = Span::from_millis(1000);
 
 enum Doing {
     /// Reads, or waits for, the next call.
@@ -26,6 +31,8 @@
     Waiting(ApiCallId),
     /// Writes an answer.
     Answering { keep: bool },
+    /// Has told what was wrong, and lets the client finish.
+    Lingering,
 }
 
 struct Client {
@@ -46,8 +53,9 @@
 
 pub struct Clients {
     owner: Owner,
-    clients: HashMap<ConnId, Client>,
+    clients: BTreeMap<ConnId, Client>,
     most: usize,
+    beyond: usize,
     offer: Offer,
     closing: bool,
 }
@@ -60,16 +68,22 @@
 
 impl Clients {
     pub fn new(owner: Owner, most_descriptors: usize, names: Names, client_timeouts: Vec<Span>) -> Clients {
-        let most = ((most_descriptors as f64 * (1.0 - LEFT_FREE)) as usize).max(1);
+        let share = |share: f64| ((most_descriptors as f64 * share) as usize).max(1);
+        let (most, beyond) = (share(CLIENTS_SHARE), share(BEYOND_SHARE));
         let offer = Offer { names, client_timeouts };
-        Clients { owner, clients: HashMap::new(), most, offer, closing: false }
+        Clients { owner, clients: BTreeMap::new(), most, beyond, offer, closing: false }
     }
 
-    /// Whether there are as many clients as there may be.
-    pub fn is_full(&self) -> bool {
+    /// Whether there are more clients than are served.
+    pub fn is_crowded(&self) -> bool {
         self.clients.len() >= self.most
     }
 
+    /// Whether there are as many as are taken in.
+    pub fn is_full(&self) -> bool {
+        self.clients.len() >= self.most + self.beyond
+    }
+
     pub fn accept(&mut self, transport: &mut Transport, listener: &mut Listener, now: Time) -> bool {
         let Some(connection) = listener.accept(transport, self.owner) else { return false };
         let id = connection.id;
@@ -97,15 +111,16 @@
                 self.turn_away(transport, now, id, 408);
                 self.go_on(transport, exchanges, now, id);
             }
-            Doing::Reading => self.end(transport, exchanges, id, End::Done),
+            Doing::Reading | Doing::Lingering => self.end(transport, exchanges, id, End::Done),
             Doing::Waiting(_) | Doing::Answering { .. } => self.end(transport, exchanges, id, End::Silent),
         }
     }
 
-    /// Closes an idle connection to make room.
-    pub fn evict(&mut self, transport: &mut Transport, id: ConnId) {
-        if let Some(client) = self.clients.remove(&id) {
-            client.connection.close(transport);
+    /// Closes an idle connection, after a last look for a call on it: one that has come is not to be lost.
+    pub fn evict(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
+        self.event(transport, exchanges, now, Event { id, readable: true });
+        if self.clients.get(&id).is_some_and(Client::is_idle) {
+            self.end(transport, exchanges, id, End::Done);
         }
     }
 
@@ -114,19 +129,15 @@
         self.closing = true;
     }
 
-    /// Ends every connection that stands between two calls, after a last look for a call on it.
+    /// Ends every connection that stands between two calls.
     pub fn close_idle(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time) {
         let idle: Vec<_> = self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, _)| *id).collect();
-        for id in idle {
-            self.event(transport, exchanges, now, Event { id, readable: true });
-            if self.clients.get(&id).is_some_and(Client::is_idle) {
-                self.evict(transport, id);
-            }
-        }
+        idle.into_iter().for_each(|id| self.evict(transport, exchanges, now, id));
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.clients.is_empty()
+    /// Whether nobody is owed anything: those that linger have had their answer.
+    pub fn are_done(&self) -> bool {
+        self.clients.values().all(|c| matches!(c.doing, Doing::Lingering))
     }
 
     /// Gives a final answer.
@@ -169,7 +180,15 @@
             }
             match client.doing {
                 Doing::Answering { .. } if !client.connection.output.is_empty() => break,
-                Doing::Answering { keep: false } => return self.end(transport, exchanges, id, End::Done),
+                Doing::Answering { keep: false } => {
+                    client.connection.end_output();
+                    client.doing = Doing::Lingering;
+                    transport.timers.set(id, now + LINGER);
+                }
+                Doing::Lingering => {
+                    client.connection.input.clear();
+                    break;
+                }
                 Doing::Answering { keep: true } => {
                     client.doing = Doing::Reading;
                     client.connection.receive();
@@ -225,6 +244,8 @@
         client.keeps = message.head.keeps;
         transport.busy(id);
         let keep = client.keeps && !self.closing;
+        let crowded = self.clients.len() > self.most;
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let output = &mut client.connection.output;
         if message.head.target.split('?').next().is_some_and(|path| path.starts_with("/health/")) {
             let ready = message.head.target == "/health/ready";
@@ -237,6 +258,7 @@
             write_plain(output, status, &[], keep);
         } else {
             match self.offer.read_call(&message.head) {
+                Ok(_) if crowded => return self.turn_away(transport, now, id, 503),
                 Ok(call) => {
                     client.doing = Doing::Waiting(exchanges.take(id, call, message));
                     // The decisions answer in time; this guards against a call that none is given for.
@@ -291,13 +313,16 @@
         let id = head.text("x-request-id").filter(|id| !id.is_empty());
         id.ok_or(bad)?;
         let timeout = number("x-timeout-ms")?.map(|ms| Span(ms.saturating_mul(1000)));
+        // No client waits for longer than its product's timeout, whatever it says of one try.
+        let longest = self.client_timeouts[product];
         let tenant = head.text("x-tenant-id").and_then(|t| self.names.tenants.iter().position(|n| n == t));
         Ok(ApiCall {
             product: ProductId(product as u16),
             tenant: tenant.map(|n| TenantId(n as u32)),
             key: Key(stable_hash(head.path().next_back().unwrap_or_default().as_bytes())),
-            budget: timeout.unwrap_or(self.client_timeouts[product]),
-            work: number("x-cost")?.map(Span),
+            budget: timeout.map_or(longest, |t| t.min(longest)),
+            // Only a hint: one that can't be read is none.
+            work: number("x-cost").ok().flatten().map(Span),
             write,
         })
     }
--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -36,14 +36,14 @@
 
     /// The list as an earlier life of this node had it.
     pub fn remembered(&mut self, sides: &mut Sides<'_>, now: Time, known: &Listings) {
-        let listings = self.listings(sides, known);
+        let listings = self.listings(sides, now, known);
         self.brain.caches_remembered(now, &listings);
     }
 
     pub fn heard(&mut self, sides: &mut Sides<'_>, now: Time, heard: &Heard) {
         match heard {
             Heard::Listed(list) => {
-                let listings = self.listings(sides, list);
+                let listings = self.listings(sides, now, list);
                 self.brain.caches_listed(now, &listings, list.complete);
             }
             Heard::Lost => self.brain.list_failed(now),
@@ -51,16 +51,22 @@
     }
 
     /// Tells the server side where the caches are, and puts them in the module's words.
-    fn listings(&self, sides: &mut Sides<'_>, list: &Listings) -> Vec<Listing> {
+    fn listings(&self, sides: &mut Sides<'_>, now: Time, list: &Listings) -> Vec<Listing> {
         let cache = |entry: &Entry| CacheId(stable_hash(entry.uid.as_bytes()));
+        let Sides { transport, exchanges, servers, .. } = sides;
         if list.complete {
             let named: BTreeSet<_> = list.entries.iter().map(cache).collect();
-            sides.servers.forget_others(sides.transport, |c| named.contains(&c));
+            for gone in servers.placed().into_iter().filter(|c| !named.contains(c)) {
+                servers.forget(transport, exchanges, now, gone);
+            }
         }
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
         let listings = list.entries.iter().map(|entry| {
             let ready = entry.state == State::Active;
-            sides.servers.place(sides.transport, cache(entry), entry.endpoint, ready);
+            match ready {
+                true => servers.place(transport, exchanges, now, cache(entry), entry.endpoint),
+                false => servers.forget(transport, exchanges, now, cache(entry)),
+            }
             Listing {
                 cache: cache(entry),
                 kind: KindId(place(&self.names.kinds, &entry.kind) as u16),
--- a/crates/node/src/routing/exchange.rs
+++ b/crates/node/src/routing/exchange.rs
@@ -80,6 +80,11 @@
         self.open.get(&id).map(|e| &e.message)
     }
 
+    /// Whether the call waits for its answer.
+    pub fn is_waiting(&self, id: ApiCallId) -> bool {
+        self.open.get(&id).is_some_and(|e| !e.answered)
+    }
+
     /// A shot has ended, with the answer to the call if it brought one.
     pub fn shot_ended(
         &mut self,
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -145,7 +145,7 @@
             self.full_until = None;
             self.accept(now);
         }
-        self.keep_room();
+        self.keep_room(now);
         let since = self.stopping.map_or(Span::ZERO, |at| now - at);
         if self.listener.is_some() && since >= COMING {
             // Whoever has come is still taken in.
@@ -176,6 +176,11 @@
     fn accept(&mut self, now: Time) {
         let Some(listener) = &mut self.listener else { return };
         for _ in 0..ACCEPTED_A_TURN {
+            if self.clients.is_crowded()
+                && let Some(id) = self.transport.idle_longest(now, Some(CLIENTS))
+            {
+                self.clients.evict(&mut self.transport, &mut self.exchanges, now, id);
+            }
             if self.clients.is_full() || self.transport.room() <= KEPT_FREE {
                 // A crowd must not spin the loop: it waits at the door until there is room.
                 listener.pause(&self.transport, true);
@@ -190,11 +195,13 @@
     }
 
     /// Closes what is idle for longest while descriptors are short.
-    fn keep_room(&mut self) {
-        while self.transport.room() <= KEPT_FREE || self.clients.is_full() {
-            let Some(id) = self.transport.idle_longest() else { return };
+    fn keep_room(&mut self, now: Time) {
+        let mut to_close = if self.transport.take_ran_out() { KEPT_FREE } else { 0 };
+        while self.transport.room() <= KEPT_FREE || to_close > 0 {
+            to_close = to_close.saturating_sub(1);
+            let Some(id) = self.transport.idle_longest(now, None) else { return };
             match id.owner() {
-                CLIENTS => self.clients.evict(&mut self.transport, id),
+                CLIENTS => self.clients.evict(&mut self.transport, &mut self.exchanges, now, id),
                 _ => self.servers.evict(&mut self.transport, id),
             }
         }
@@ -218,6 +225,6 @@
         if late {
             log::warn!("stopping with {} calls unanswered", self.exchanges.unanswered());
         }
-        late || self.idle_closed && self.clients.is_empty()
+        late || self.idle_closed && self.clients.are_done()
     }
 }
--- a/crates/node/src/routing/outcome.rs
+++ b/crates/node/src/routing/outcome.rs
@@ -42,8 +42,9 @@
 
 fn of_end(end: End, whole: bool) -> Outcome {
     match end {
-        // Before any connection was tried: nothing is learnt of the cache.
+        // Not for want of the cache: nothing is learnt of it.
         End::NoDescriptor => Outcome::Moot,
+        End::Done if !whole => Outcome::Moot,
         End::Recalled => Outcome::Recalled,
         End::GivenUp | End::Silent => Outcome::TimedOut,
         // A shot that was not written to its end never runs.
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -1,6 +1,6 @@
 //! The server side: connections to the caches and the origin, and the shots on them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use granitelb::calls::Shot;
@@ -19,7 +19,6 @@
 /// Where a cache is, and its connections that wait for work, the one used last at the end.
 struct Place {
     endpoint: SocketAddr,
-    wanted: bool,
     idle: Vec<ConnId>,
 }
 
@@ -43,8 +42,8 @@
 pub struct Servers {
     owner: Owner,
     places: BTreeMap<CacheId, Place>,
-    links: HashMap<ConnId, Link>,
-    carriers: HashMap<(ApiCallId, ShotNumber), ConnId>,
+    links: BTreeMap<ConnId, Link>,
+    carriers: BTreeMap<(ApiCallId, ShotNumber), ConnId>,
     connect_limit: Span,
     keepalive: Span,
 }
@@ -54,34 +53,50 @@
         Servers {
             owner,
             places: BTreeMap::new(),
-            links: HashMap::new(),
-            carriers: HashMap::new(),
+            links: BTreeMap::new(),
+            carriers: BTreeMap::new(),
             connect_limit,
             keepalive: keepalive.scaled(IDLE_SHARE),
         }
     }
 
-    /// Takes up where a cache is, and whether it is to get anything new.
-    pub fn place(&mut self, transport: &mut Transport, cache: CacheId, endpoint: SocketAddr, wanted: bool) {
-        let place = self.places.entry(cache).or_insert(Place { endpoint, wanted, idle: Vec::new() });
-        let moved = place.endpoint != endpoint;
-        (place.endpoint, place.wanted) = (endpoint, wanted);
-        if moved || !wanted {
-            for id in std::mem::take(&mut place.idle) {
-                self.drop_link(transport, id, End::Done);
-            }
+    /// Takes up where a cache is that is to get shots.
+    pub fn place(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        cache: CacheId,
+        endpoint: SocketAddr,
+    ) {
+        if self.places.get(&cache).is_some_and(|p| p.endpoint != endpoint) {
+            self.forget(transport, exchanges, now, cache);
         }
+        self.places.entry(cache).or_insert(Place { endpoint, idle: Vec::new() });
     }
 
-    /// A whole list does not name these any more.
-    pub fn forget_others(&mut self, transport: &mut Transport, named: impl Fn(CacheId) -> bool) {
-        let gone: Vec<_> =
-            self.places.iter().filter(|(c, _)| !named(**c)).map(|(c, p)| (*c, p.endpoint)).collect();
-        for (cache, endpoint) in gone {
-            self.place(transport, cache, endpoint, false);
+    /// Nothing new goes to this cache: what was not begun is not sent, what is idle is closed, and connections
+    /// with a shot out end with its answer.
+    pub fn forget(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        cache: CacheId,
+    ) {
+        let Some(place) = self.places.remove(&cache) else { return };
+        let unsent = self.links.iter().filter(|(_, l)| l.cache == cache && !l.connection.is_up());
+        let unsent: Vec<_> = unsent.map(|(id, _)| *id).collect();
+        for id in unsent.into_iter().chain(place.idle) {
+            self.end(transport, exchanges, now, id, End::Done);
         }
     }
 
+    /// The caches that may get shots.
+    pub fn placed(&self) -> Vec<CacheId> {
+        self.places.keys().copied().collect()
+    }
+
     /// Sends a shot on an idle connection, or on a new one.
     pub fn send(
         &mut self,
@@ -95,9 +110,9 @@
             let fate = ShotFate::Lost { end, whole: false };
             exchanges.shot_ended(shot.api_call, number, shot.cache, fate, Span::ZERO);
         };
-        let Some(place) = self.places.get_mut(&shot.cache) else { return fail(exchanges, End::Refused) };
+        let Some(place) = self.places.get(&shot.cache) else { return fail(exchanges, End::Done) };
         let endpoint = place.endpoint;
-        let id = match place.idle.pop() {
+        let id = match self.live_link(transport, shot.cache) {
             Some(id) => id,
             None => match Connection::begin(transport, endpoint, self.owner) {
                 Ok(connection) => {
@@ -112,7 +127,7 @@
             },
         };
         let (Some(link), Some(message)) = (self.links.get_mut(&id), exchanges.message(shot.api_call)) else {
-            return fail(exchanges, End::Refused);
+            return fail(exchanges, End::Done);
         };
         transport.busy(id);
         write_call(&mut link.connection.output, message, shot.give_up_after.0 / 1000);
@@ -124,6 +139,19 @@
         self.go_on(transport, exchanges, now, id);
     }
 
+    /// An idle connection that the cache has not ended meanwhile: what is written to one that it has is lost.
+    fn live_link(&mut self, transport: &mut Transport, cache: CacheId) -> Option<ConnId> {
+        loop {
+            let id = self.places.get_mut(&cache)?.idle.pop()?;
+            let connection = &mut self.links.get_mut(&id)?.connection;
+            connection.receive();
+            if connection.ended().is_none() && connection.input.is_empty() {
+                return Some(id);
+            }
+            self.drop_link(transport, id, End::Closed);
+        }
+    }
+
     /// Calls a shot off.
     pub fn recall(
         &mut self,
@@ -176,6 +204,11 @@
     fn go_on(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let connection = &mut link.connection;
+        // The gate of all that is written: for a call that has its answer nothing more goes out.
+        let unwritten = link.shot.as_ref().filter(|_| !connection.output.is_empty());
+        if unwritten.is_some_and(|shot| !exchanges.is_waiting(shot.call)) {
+            return self.end(transport, exchanges, now, id, End::Done);
+        }
         let written = connection.flush();
         loop {
             let answer = match link.answers.next(&mut connection.input) {
@@ -196,7 +229,7 @@
             let fate = ShotFate::Answered(answer);
             exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
             let place = self.places.get_mut(&link.cache);
-            let Some(place) = place.filter(|p| usable && p.wanted && p.endpoint == link.endpoint) else {
+            let Some(place) = place.filter(|p| usable && p.endpoint == link.endpoint) else {
                 return self.drop_link(transport, id, End::Done);
             };
             place.idle.push(id);
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -6,7 +6,7 @@
 use rustix::event::epoll::EventFlags;
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
-use rustix::net::{self, AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType, sockopt};
+use rustix::net::{self, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType, sockopt};
 
 use super::{ConnId, End, Owner, Ring, Transport};
 
@@ -45,7 +45,7 @@
         }
         let fd = net::socket_with(family(&to), SocketType::STREAM, NEW, None).map_err(|trouble| {
             if ran_out(trouble) {
-                transport.ran_out();
+                transport.run_out();
             }
             End::NoDescriptor
         })?;
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Tells the other side that nothing more will come.
+    pub fn end_output(&self) {
+        let _ = net::shutdown(&self.fd, Shutdown::Write);
+    }
+
     pub fn close(self, transport: &mut Transport) {
         transport.closed(self.id);
     }
@@ -166,7 +171,7 @@
             match net::accept_with(&self.fd, NEW) {
                 Ok(fd) => return Connection::over(transport, fd, owner, true).ok(),
                 Err(trouble) if ran_out(trouble) => {
-                    transport.ran_out();
+                    transport.run_out();
                     return None;
                 }
                 // The one that came is gone again, or this try was disturbed: the next may be well.
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 
-use granitelb::units::Time;
+use granitelb::units::{Span, Time};
 use rustix::event::{Timespec, epoll};
 use rustix::fd::{AsFd, OwnedFd};
 
@@ -35,6 +35,9 @@
 /// Events taken in one turn: enough to empty most queues, few enough that timers are not kept waiting.
 const EVENTS: usize = 256;
 
+/// A connection that was opened or used this short a time ago is not closed for being idle.
+const FRESH: Span = Span::from_millis(100);
+
 pub struct Transport {
     epoll: OwnedFd,
     pub clock: Clock,
@@ -43,6 +46,8 @@
     /// Connections that are open, and how many may be.
     open: usize,
     most: usize,
+    /// Whether the system had no descriptor to give, below that number too.
+    ran_out: bool,
     /// Connections that could be closed without loss, the one idle for longest first.
     idle: BTreeSet<(Time, ConnId)>,
     idle_since: HashMap<ConnId, Time>,
@@ -58,6 +63,7 @@
             next: 0,
             open: 0,
             most,
+            ran_out: false,
             idle: BTreeSet::new(),
             idle_since: HashMap::new(),
             events: Vec::with_capacity(EVENTS),
@@ -108,9 +114,13 @@
         self.most.saturating_sub(self.open)
     }
 
-    /// Fewer descriptors are to be had than was thought.
-    pub(super) fn ran_out(&mut self) {
-        self.most = self.most.min(self.open);
+    pub(super) fn run_out(&mut self) {
+        self.ran_out = true;
+    }
+
+    /// Whether descriptors ran out since this was last asked.
+    pub fn take_ran_out(&mut self) -> bool {
+        std::mem::take(&mut self.ran_out)
     }
 
     pub(super) fn opened(&mut self) {
@@ -136,8 +146,10 @@
         }
     }
 
-    /// The connection that has been idle for longest.
-    pub fn idle_longest(&self) -> Option<ConnId> {
-        self.idle.first().map(|i| i.1)
+    /// The connection that has been idle for longest, of one owner's or of all; none that became so only now,
+    /// since what it is for may be on its way.
+    pub fn idle_longest(&self, now: Time, owner: Option<Owner>) -> Option<ConnId> {
+        let long = self.idle.iter().take_while(|(since, _)| now - *since >= FRESH);
+        long.map(|i| i.1).find(|id| owner.is_none_or(|o| o == id.owner()))
     }
 }
--- a/crates/node/src/transport/ring.rs
+++ b/crates/node/src/transport/ring.rs
@@ -21,6 +21,10 @@
     }
 
     pub fn push(&mut self, bytes: &[u8]) {
+        if bytes.len() > KEPT {
+            // Whole bodies take their own size: doubled, a thousand of them would not fit in memory.
+            self.bytes.reserve_exact(bytes.len());
+        }
         self.bytes.extend(bytes);
     }
 
@@ -29,6 +33,10 @@
         self.bytes.as_slices().0
     }
 
+    pub fn clear(&mut self) {
+        self.bytes = VecDeque::new();
+    }
+
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count);
         if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -132,7 +132,8 @@
 }
 
 pub fn decode(text: &[u8]) -> Result<Decoded, Fault> {
-    let params: Params = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text))?;
+    let mut text = serde_json::Deserializer::from_slice(text);
+    let params: Params = serde_path_to_error::deserialize(&mut text)?;
     let origin = u16::try_from(params.specifics.origin_kind).ok().map(KindId);
     let mode = match (params.specifics.mode.as_str(), origin) {
         ("aside", Some(origin)) => Mode::Aside { origin },
