--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -18,6 +18,8 @@
 pub struct Driver {
     brain: Brain,
     names: Names,
+    /// How many caches and origins could get shots when the log last told.
+    ready: usize,
 }
 
 /// Everything that decisions are carried out on.
@@ -31,7 +33,7 @@
 
 impl Driver {
     pub fn new(brain: Brain, names: Names) -> Driver {
-        Driver { brain, names }
+        Driver { brain, names, ready: 0 }
     }
 
     /// The list as an earlier life of this node had it.
@@ -40,10 +42,22 @@
         self.brain.caches_remembered(now, &listings);
     }
 
+    /// Has the list told from the start where nobody has to ask for it: on sockets a watch is how it is told. The
+    /// decisions ask for one only where the list comes on request, or once one is lost.
+    pub fn watch_unasked(&mut self, sides: &mut Sides<'_>, now: Time) {
+        if let Some(heard) = sides.watch.ask(sides.transport, now) {
+            self.heard(sides, now, &heard);
+        }
+    }
+
     pub fn heard(&mut self, sides: &mut Sides<'_>, now: Time, heard: &Heard) {
         match heard {
             Heard::Listed(list) => {
                 let listings = self.listings(sides, now, list);
+                let ready = sides.servers.placed().len();
+                if std::mem::replace(&mut self.ready, ready) != ready {
+                    log::info!("the list at revision {}: {ready} caches may get shots", list.revision);
+                }
                 self.brain.caches_listed(now, &listings, list.complete);
             }
             Heard::Lost => self.brain.list_failed(now),
--- a/crates/node/src/routing/exchange.rs
+++ b/crates/node/src/routing/exchange.rs
@@ -7,6 +7,7 @@
 use granitelb::units::Span;
 
 use super::outcome::ShotFate;
+use super::tally::Tally;
 use crate::protocol::Message;
 use crate::transport::ConnId;
 
@@ -40,6 +41,7 @@
     left: VecDeque<ApiCallId>,
     ended: VecDeque<(ApiCallId, ShotEnd)>,
     answered: VecDeque<ApiCallId>,
+    tally: Tally,
 }
 
 /// The client side's part.
@@ -98,6 +100,7 @@
         if let Some(answer) = answer {
             self.settle(id, FinalAnswer::Fulfilled(answer));
         }
+        self.tally.count_shot(outcome);
         let Some(exchange) = self.open.get_mut(&id) else { return };
         exchange.out = exchange.out.saturating_sub(1);
         let end = ShotEnd { number, cache, outcome, latency, answered: exchange.answered };
@@ -133,12 +136,18 @@
     /// The gate of every final answer: the first one stands.
     pub fn settle(&mut self, id: ApiCallId, answer: FinalAnswer) -> bool {
         let Some(exchange) = self.open.get_mut(&id).filter(|e| !e.answered) else { return false };
+        self.tally.count_answer(&answer);
         exchange.answered = true;
         exchange.answer = Some(answer);
         self.answered.push_back(id);
         true
     }
 
+    /// What was counted since this was last asked.
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
     /// Calls that wait for an answer.
     pub fn unanswered(&self) -> usize {
         self.open.values().filter(|e| !e.answered).count()
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod node;
 mod outcome;
 mod servers;
+mod tally;
 mod watch;
 
 pub use node::{Node, Setup};
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -6,7 +6,6 @@
 use granitelb::brain::Brain;
 use granitelb::units::{Span, Time};
 use granitelb_settings::Decoded;
-use rustix::event::epoll::EventFlags;
 use rustix::fd::AsFd;
 
 use super::clients::Clients;
@@ -36,6 +35,8 @@
 const LAST_BYTES: Span = Span::from_millis(100);
 /// How long past the longest client timeout a stopping node stays for its calls: within the 0.7 s that it has.
 const STAYS: Span = Span::from_millis(450);
+/// How often the log says what calls came to.
+const TALLY: Span = Span::from_millis(60_000);
 /// A listener without room is asked again after this.
 const FULL: Span = Span::from_millis(20);
 
@@ -62,6 +63,8 @@
     /// Whether the connections that stood idle have been ended since.
     idle_closed: bool,
     longest_call: Span,
+    /// When the log says next what calls came to.
+    tally_at: Time,
     /// When connections that had no room are looked for again.
     full_until: Option<Time>,
 }
@@ -74,6 +77,7 @@
         let now = transport.now();
         let Decoded { decisions, names, client_timeouts, connect_limit, keepalive } = setup.settings;
         let longest_call = client_timeouts.iter().copied().max().unwrap_or_default();
+        let unasked = !decisions.list_on_request;
         let brain = Brain::new(decisions, setup.seed, now);
         let revision = setup.known.as_ref().map(|k| k.revision);
         let mut node = Node {
@@ -87,12 +91,16 @@
             stopping: None,
             idle_closed: false,
             longest_call,
+            tally_at: now + TALLY,
             full_until: None,
         };
+        let (driver, mut sides) = node.parts();
         if let Some(known) = &setup.known {
-            let (driver, mut sides) = node.parts();
             driver.remembered(&mut sides, now, known);
         }
+        if unasked {
+            driver.watch_unasked(&mut sides, now);
+        }
         Ok(node)
     }
 
@@ -103,12 +111,13 @@
 
     /// Serves until `stop` can be read from, and then until what was taken is answered.
     pub fn serve(mut self, stop: impl AsFd) -> io::Result<()> {
-        self.transport.register(&stop, STOP, EventFlags::IN | EventFlags::ONESHOT)?;
+        self.transport.tell_once(&stop, STOP)?;
         let mut now = self.transport.now();
         loop {
             let (driver, mut sides) = self.parts();
             driver.settle(&mut sides, now);
             if self.has_ended(now) {
+                self.log_tally();
                 return Ok(());
             }
             let until = self.next_wake(now);
@@ -142,9 +151,12 @@
             self.timer(now, id);
         }
         if self.full_until.is_some_and(|at| at <= now) {
-            self.full_until = None;
             self.accept(now);
         }
+        if self.tally_at <= now {
+            self.tally_at = now + TALLY;
+            self.log_tally();
+        }
         self.keep_room(now);
         let since = self.stopping.map_or(Span::ZERO, |at| now - at);
         if self.listener.is_some() && since >= COMING {
@@ -174,7 +186,10 @@
 
     /// Takes in those who have come, as far as there is room.
     fn accept(&mut self, now: Time) {
-        let Some(listener) = &mut self.listener else { return };
+        let Some(listener) = &mut self.listener else {
+            self.full_until = None;
+            return;
+        };
         for _ in 0..ACCEPTED_A_TURN {
             if self.clients.is_crowded()
                 && let Some(id) = self.transport.idle_longest(now, Some(CLIENTS))
@@ -184,6 +199,9 @@
             if self.clients.is_full() || self.transport.room() <= KEPT_FREE {
                 // A crowd must not spin the loop: it waits at the door until there is room.
                 listener.pause(&self.transport, true);
+                if self.full_until.is_none() {
+                    log::warn!("no room for new clients");
+                }
                 self.full_until = Some(now + FULL);
                 return;
             }
@@ -192,11 +210,23 @@
             }
         }
         listener.pause(&self.transport, false);
+        self.full_until = None;
+    }
+
+    fn log_tally(&mut self) {
+        let tally = self.exchanges.take_tally();
+        if !tally.is_empty() {
+            log::info!("{tally}");
+        }
     }
 
     /// Closes what is idle for longest while descriptors are short.
     fn keep_room(&mut self, now: Time) {
-        let mut to_close = if self.transport.take_ran_out() { KEPT_FREE } else { 0 };
+        let ran_out = self.transport.take_ran_out();
+        if ran_out {
+            log::warn!("descriptors ran out");
+        }
+        let mut to_close = if ran_out { KEPT_FREE } else { 0 };
         while self.transport.room() <= KEPT_FREE || to_close > 0 {
             to_close = to_close.saturating_sub(1);
             let Some(id) = self.transport.idle_longest(now, None) else { return };
@@ -214,7 +244,13 @@
             (None, true) => self.longest_call + STAYS,
         };
         let stopping = self.stopping.map(|at| at + step);
-        let wakes = [self.driver.next_wake(now), self.transport.timers.first(), stopping, self.full_until];
+        let wakes = [
+            self.driver.next_wake(now),
+            self.transport.timers.first(),
+            stopping,
+            self.full_until,
+            Some(self.tally_at),
+        ];
         wakes.into_iter().flatten().min()
     }
 
--- /dev/null
+++ b/crates/node/src/routing/tally.rs
@@ -0,0 +1,62 @@
+//! What the log says of calls: counts, a line a minute.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use granitelb::calls::{Answer, Outcome};
+
+use super::exchange::FinalAnswer;
+
+#[derive(Default)]
+pub struct Tally {
+    fulfilled: u64,
+    rate_limited: u64,
+    errored: u64,
+    left: u64,
+    /// Shots by the word for how they ended.
+    shots: BTreeMap<&'static str, u64>,
+}
+
+impl Tally {
+    pub fn count_answer(&mut self, answer: &FinalAnswer) {
+        *match answer {
+            FinalAnswer::Fulfilled(_) => &mut self.fulfilled,
+            FinalAnswer::Own(Answer::RateLimited { .. }) => &mut self.rate_limited,
+            FinalAnswer::Own(Answer::Errored) => &mut self.errored,
+            FinalAnswer::ClientLeft => &mut self.left,
+        } += 1;
+    }
+
+    pub fn count_shot(&mut self, outcome: Outcome) {
+        let word = match outcome {
+            Outcome::Fulfilled => "fulfilled",
+            Outcome::Fetched => "fetched",
+            Outcome::Lacking => "lacking",
+            Outcome::Full => "full",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Moot => "never sent",
+            Outcome::TimedOut => "timed-out",
+            Outcome::Errored => "errored",
+            Outcome::Reset => "reset",
+            Outcome::Recalled => "recalled",
+        };
+        *self.shots.entry(word).or_default() += 1;
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.fulfilled + self.rate_limited + self.errored + self.left == 0 && self.shots.is_empty()
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Tally { fulfilled, rate_limited, errored, left, shots } = self;
+        let calls = fulfilled + rate_limited + errored + left;
+        write!(f, "{calls} calls: {fulfilled} fulfilled, {rate_limited} rate-limited, {errored} errored, ")?;
+        write!(f, "{left} left by clients; {} shots", shots.values().sum::<u64>())?;
+        for (at, (word, count)) in shots.iter().enumerate() {
+            write!(f, "{} {count} {word}", if at == 0 { ":" } else { "," })?;
+        }
+        Ok(())
+    }
+}
--- a/crates/node/src/routing/watch.rs
+++ b/crates/node/src/routing/watch.rs
@@ -7,9 +7,10 @@
 use crate::protocol::{Listings, Piece, Reader, Side};
 use crate::transport::{Connection, End, Event, Owner, Transport};
 
-/// A line comes every two seconds at least: after two and a half such times without one the watch is lost, and
-/// can be asked for again before what it missed counts as told.
-const SILENCE: Span = Span::from_millis(5000);
+/// A line comes every two seconds at least: after two such times and a quarter without one the watch is lost.
+/// What it missed counts as told 6 s after it was to be said; a new watch, asked for within 0.75 s and answered
+/// within a second, tells it before the grace that a drain leaves is over.
+const SILENCE: Span = Span::from_millis(4500);
 /// A list of this many bytes is not one of caches.
 const MOST_LINE: usize = 4 * 1024 * 1024;
 
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -97,8 +97,18 @@
         Ok(events.collect())
     }
 
+    /// Has epoll tell, once, that something of the caller's own can be read from.
+    pub fn tell_once(&mut self, fd: impl AsFd, owner: Owner) -> io::Result<ConnId> {
+        self.register(fd, owner, epoll::EventFlags::IN | epoll::EventFlags::ONESHOT)
+    }
+
     /// Registers a descriptor; closing it ends that.
-    pub fn register(&mut self, fd: impl AsFd, owner: Owner, flags: epoll::EventFlags) -> io::Result<ConnId> {
+    pub(super) fn register(
+        &mut self,
+        fd: impl AsFd,
+        owner: Owner,
+        flags: epoll::EventFlags,
+    ) -> io::Result<ConnId> {
         self.next += 1;
         let id = ConnId(self.next << 8 | u64::from(owner.0));
         epoll::add(&self.epoll, fd, epoll::EventData::new_u64(id.0), flags)?;
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -529,6 +529,7 @@
 #[test_case(include_str!("scenarios/refused.txt"); "refused")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 #[test_case(include_str!("scenarios/stop-idle.txt"); "stop_idle")]
+#[test_case(include_str!("scenarios/unasked.txt"); "unasked")]
 #[test_case(include_str!("scenarios/watch.txt"); "watch")]
 fn play(text: &str) {
     let mut stage = None;
