One reader for JSON texts names the faulty key; text after the object is a fault

crates/settings had its faults worded in the node's configuration, and since the move the settings text was no longer looked at to its end. Both now go through granitelb_settings::read; a fault under `settings` carries its whole path.

--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use granitelb_settings::Decoded;
+use granitelb_settings::{Decoded, Fault};
 use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use serde_json::Value;
@@ -21,21 +21,6 @@
 /// With fewer a node could hold no client and no cache beside its own descriptors.
 const FEWEST_DESCRIPTORS: u64 = 40;
 
-/// What is wrong with the configuration, and at which key.
-#[derive(Debug)]
-pub struct Fault {
-    key: String,
-    trouble: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "configuration, {}: {}", self.key, self.trouble)
-    }
-}
-
-impl std::error::Error for Fault {}
-
 fn fault(key: impl Into<String>, trouble: impl ToString) -> Fault {
     Fault { key: key.into(), trouble: trouble.to_string() }
 }
@@ -80,15 +65,14 @@
     }
 
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
-        let file: File<'_> = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
-            .map_err(|e| fault(key_of(e.path(), e.inner()), e.inner()))?;
+        let file: File<'_> = granitelb_settings::read(text.as_bytes())?;
         let address = |key: &str, name: &str, given: Option<SocketAddr>| match (given, variable(name)) {
             (Some(address), _) => Ok(address),
             (None, Some(text)) => text.parse().map_err(|e| fault(name, e)),
             (None, None) => Err(fault(key, format!("missing, and {name} is not set"))),
         };
         let settings = granitelb_settings::decode(file.settings.get().as_bytes())
-            .map_err(|e| fault(format!("settings.{}", key_of(e.path(), e.inner())), e.inner()))?;
+            .map_err(|fault| fault.under("settings"))?;
         if settings.names.products.iter().any(String::is_empty) || settings.names.products.is_empty() {
             return Err(fault("settings.Products", "each product needs a name, and there must be one"));
         }
@@ -125,15 +109,6 @@
     }
 }
 
-/// The key that a fault is at; where one is missing, the message names it and this names its place.
-fn key_of(path: &serde_path_to_error::Path, trouble: &serde_json::Error) -> String {
-    match path.to_string().as_str() {
-        "." if trouble.is_syntax() || trouble.is_eof() => "the whole text".into(),
-        "." => "at its top".into(),
-        path => path.into(),
-    }
-}
-
 impl fmt::Display for Config {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let known = self.known.as_ref().map_or(0, |k| k.entries.len());
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -31,8 +31,8 @@
     Ok(())
 }
 
-fn load(path: Option<&Path>) -> Result<Config, config::Fault> {
-    Config::load(path, |name| std::env::var(name).ok())
+fn load(path: Option<&Path>) -> Result<Config, String> {
+    Config::load(path, |name| std::env::var(name).ok()).map_err(|fault| format!("configuration, {fault}"))
 }
 
 fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decodes the settings text, for the simulator's adapter and for the real node alike; keys that are not read
 //! are skipped.
 
+use std::fmt;
+
 use granitelb::ids::KindId;
 use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
 use granitelb::units::Span;
@@ -27,8 +29,46 @@
     pub kinds: Vec<String>,
 }
 
-/// Where the settings are wrong, and how.
-pub type Fault = serde_path_to_error::Error<serde_json::Error>;
+/// What is wrong with a text, and at which key.
+#[derive(Debug)]
+pub struct Fault {
+    /// Empty where it is the text as a whole, such as for want of a key, which the trouble then names.
+    pub key: String,
+    pub trouble: String,
+}
+
+impl Fault {
+    /// The same fault, seen from a text that holds this one under a key.
+    pub fn under(self, key: &str) -> Fault {
+        let key = if self.key.is_empty() { key.into() } else { format!("{key}.{}", self.key) };
+        Fault { key, ..self }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let key = if self.key.is_empty() { "at its top" } else { &self.key };
+        write!(f, "{key}: {}", self.trouble)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Reads a JSON text; what is wrong with it is told by its key.
+pub fn read<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, Fault> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let read = serde_path_to_error::deserialize(&mut json).map_err(|fault| {
+        let (path, trouble) = (fault.path().to_string(), fault.inner());
+        let key = match path.as_str() {
+            "." if trouble.is_syntax() || trouble.is_eof() => "the whole text",
+            "." => "",
+            path => path,
+        };
+        Fault { key: key.into(), trouble: trouble.to_string() }
+    })?;
+    json.end().map_err(|e| Fault { key: "after the text".into(), trouble: e.to_string() })?;
+    Ok(read)
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -132,8 +172,7 @@
 }
 
 pub fn decode(text: &[u8]) -> Result<Decoded, Fault> {
-    let mut text = serde_json::Deserializer::from_slice(text);
-    let params: Params = serde_path_to_error::deserialize(&mut text)?;
+    let params: Params = read(text)?;
     let origin = u16::try_from(params.specifics.origin_kind).ok().map(KindId);
     let mode = match (params.specifics.mode.as_str(), origin) {
         ("aside", Some(origin)) => Mode::Aside { origin },
