Idle connections kept apart by owner; lengths read in one place

Finding the client that is idle for longest went through the caches' idle connections too, at every accept while crowded (poller.rs, idle_longest); now each owner has its own order. The two readers of lengths in reader.rs were the same but for the radix.

--- a/crates/node/src/protocol/reader.rs
+++ b/crates/node/src/protocol/reader.rs
@@ -198,7 +198,7 @@
         if asks && self.newer && head.values("host").count() != 1 {
             return Err(Fault::Malformed);
         }
-        let mut lengths = head.values("content-length").map(length);
+        let mut lengths = head.values("content-length").map(|value| length(value, 10));
         let first = lengths.next().transpose()?;
         for other in lengths {
             if Some(other?) != first {
@@ -244,26 +244,19 @@
     Ok((String::from_utf8_lossy(name).into_owned(), value.to_vec()))
 }
 
-fn length(value: &[u8]) -> Result<usize, Fault> {
-    let text = std::str::from_utf8(value).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
-    let text = text.filter(|t| !t.is_empty()).ok_or(Fault::Malformed)?;
-    let digits = text.trim_start_matches('0');
-    match digits.len() {
-        0 => Ok(0),
-        n if n > MOST_DIGITS => Err(Fault::BodyTooLong),
-        _ => digits.parse().map_err(|_| Fault::Malformed),
-    }
+fn chunk_size(line: &[u8]) -> Result<usize, Fault> {
+    length(line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end(), 16)
 }
 
-fn chunk_size(line: &[u8]) -> Result<usize, Fault> {
-    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
-    let text = std::str::from_utf8(digits).ok().filter(|t| t.bytes().all(|b| b.is_ascii_hexdigit()));
+/// A length in digits of this radix and nothing else.
+fn length(digits: &[u8], radix: u32) -> Result<usize, Fault> {
+    let text = std::str::from_utf8(digits).ok().filter(|t| t.chars().all(|c| c.is_digit(radix)));
     let text = text.filter(|t| !t.is_empty()).ok_or(Fault::Malformed)?;
     let digits = text.trim_start_matches('0');
     match digits.len() {
         0 => Ok(0),
         n if n > MOST_DIGITS => Err(Fault::BodyTooLong),
-        _ => usize::from_str_radix(digits, 16).map_err(|_| Fault::Malformed),
+        _ => usize::from_str_radix(digits, radix).map_err(|_| Fault::Malformed),
     }
 }
 
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -1,6 +1,6 @@
 //! The epoll instance, and what all connections share: their timers and the budget of descriptors.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 
 use granitelb::units::{Span, Time};
@@ -50,8 +50,8 @@
     most: usize,
     /// Whether the system had no descriptor to give, below that number too.
     ran_out: bool,
-    /// Connections that could be closed without loss, the one idle for longest first.
-    idle: BTreeSet<(Time, ConnId)>,
+    /// Each owner's connections that could be closed without loss, the one idle for longest first.
+    idle: BTreeMap<u8, BTreeSet<(Time, ConnId)>>,
     idle_since: HashMap<ConnId, Time>,
     events: Vec<epoll::Event>,
 }
@@ -66,7 +66,7 @@
             open: 0,
             most,
             ran_out: false,
-            idle: BTreeSet::new(),
+            idle: BTreeMap::new(),
             idle_since: HashMap::new(),
             events: Vec::with_capacity(EVENTS),
         })
@@ -155,19 +155,22 @@
     pub fn idle(&mut self, id: ConnId, now: Time) {
         self.busy(id);
         self.idle_since.insert(id, now);
-        self.idle.insert((now, id));
+        self.idle.entry(id.owner().0).or_default().insert((now, id));
     }
 
     pub fn busy(&mut self, id: ConnId) {
-        if let Some(since) = self.idle_since.remove(&id) {
-            self.idle.remove(&(since, id));
+        if let Some(since) = self.idle_since.remove(&id)
+            && let Some(idle) = self.idle.get_mut(&id.owner().0)
+        {
+            idle.remove(&(since, id));
         }
     }
 
     /// The connection that has been idle for longest, of one owner's or of all; none that became so only now,
     /// since what it is for may be on its way.
     pub fn idle_longest(&self, now: Time, owner: Option<Owner>) -> Option<ConnId> {
-        let long = self.idle.iter().take_while(|(since, _)| now - *since >= FRESH);
-        long.map(|i| i.1).find(|id| owner.is_none_or(|o| o == id.owner()))
+        let owners = self.idle.iter().filter(|(of, _)| owner.is_none_or(|o| o.0 == **of));
+        let (since, id) = *owners.filter_map(|(_, idle)| idle.first()).min()?;
+        (now - since >= FRESH).then_some(id)
     }
 }
