Idle clients do not count as a crowd; fewer descriptors held back where few are given

Cause: node.rs held back 24 descriptors for itself, which has 8, and 16 for shots whatever the limit. With 12 and an eighth the scenario descriptors.txt failed: 60 idle clients filled the places of the served ones and the next call got 503 (clients.rs, take, counted all clients). Before, the lack of room had hidden that; with 1,024 descriptors it would have shown from some 400 idle clients on. Now only clients that are not idle count.

--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -237,11 +237,12 @@
         id: ConnId,
         message: Message,
     ) {
-        let crowded = self.clients.len() > self.most;
+        transport.busy(id);
+        // Those that are idle take nothing from the others, and go first once there is no room.
+        let crowded = self.clients.len() - transport.idle_count(self.owner) > self.most;
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.told_to_go_on = false;
         client.keeps = message.head.keeps;
-        transport.busy(id);
         let keep = client.keeps && !self.closing;
         let output = &mut client.connection.output;
         if message.head.path().next() == Some("health") {
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -22,11 +22,12 @@
 const DISCOVERY: Owner = Owner(3);
 const STOP: Owner = Owner(4);
 
-/// Descriptors that are no connections: standard streams, epoll, the listener, the stop signal's pair, and a few
+/// Descriptors that are no connections: standard streams, epoll, the listener, the stop signal's three, and a few
 /// that a library may open for a moment.
-const OWN_DESCRIPTORS: usize = 24;
-/// Descriptors that are kept free for shots, by closing what is idle.
-const KEPT_FREE: usize = 16;
+const OWN_DESCRIPTORS: usize = 12;
+/// Descriptors that are kept free for shots by closing what is idle: this share of all, and so many at the most.
+const FREE_SHARE: f64 = 0.125;
+const MOST_FREE: usize = 16;
 /// New connections taken in one turn: calls that wait must not be kept waiting by a crowd at the door.
 const ACCEPTED_A_TURN: usize = 64;
 /// After a stop signal clients may go on coming for 0.4 s; then nobody is sent here any more.
@@ -64,6 +65,7 @@
     /// Whether the connections that stood idle have been ended since.
     idle_closed: bool,
     longest_call: Span,
+    kept_free: usize,
     /// When the log says next what calls came to.
     tally_at: Time,
     /// When connections that had no room are looked for again.
@@ -92,6 +94,7 @@
             stopping: None,
             idle_closed: false,
             longest_call,
+            kept_free: ((descriptors as f64 * FREE_SHARE) as usize).min(MOST_FREE),
             tally_at: now + TALLY,
             full_until: None,
         };
@@ -198,7 +201,7 @@
             {
                 self.clients.evict(&mut self.transport, &mut self.exchanges, now, id);
             }
-            let no_room = self.clients.is_full() || self.transport.room() <= KEPT_FREE;
+            let no_room = self.clients.is_full() || self.transport.room() <= self.kept_free;
             if no_room || self.transport.has_run_out() {
                 // Epoll would tell of them without end: they wait at the door until there is room.
                 listener.pause(&self.transport, true);
@@ -230,8 +233,8 @@
         if ran_out {
             log::warn!("descriptors ran out");
         }
-        let mut to_close = if ran_out { KEPT_FREE } else { 0 };
-        while self.transport.room() <= KEPT_FREE || to_close > 0 {
+        let mut to_close = if ran_out { self.kept_free } else { 0 };
+        while self.transport.room() <= self.kept_free || to_close > 0 {
             to_close = to_close.saturating_sub(1);
             let Some(id) = self.transport.idle_longest(now, None) else { return };
             match id.owner() {
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// How many of an owner's connections are idle.
+    pub fn idle_count(&self, owner: Owner) -> usize {
+        self.idle.get(&owner.0).map_or(0, BTreeSet::len)
+    }
+
     /// The connection that has been idle for longest, of one owner's or of all; none that became so only now,
     /// since what it is for may be on its way.
     pub fn idle_longest(&self, now: Time, owner: Option<Owner>) -> Option<ConnId> {
