Read through: one time order for timers and idle connections, sub-commands built alike

The order of idle connections was Timers over again (a set by time beside a map from connection to time); both are TimeOrder now. serve and check are made by one closure. The configuration reads the environment itself, where it was handed a closure that only ever did that. The scenario runner states its reset and its deaf listener once.

--- a/crates/node/src/program/command.rs
+++ b/crates/node/src/program/command.rs
@@ -12,25 +12,30 @@
 }
 
 pub fn parse() -> Command {
-    let config = || {
+    let configured = |make: fn(Option<PathBuf>) -> Command, name, descr, help| {
         long("config")
             .short('c')
             .help("Configuration file; without it, the one that ROUTER_CONFIG names")
             .argument::<PathBuf>("FILE")
             .optional()
+            .map(make)
+            .to_options()
+            .descr(descr)
+            .command(name)
+            .help(help)
     };
-    let config_of_serve = config();
-    let serve = construct!(Command::Serve { config(config_of_serve) })
-        .to_options()
-        .descr("Serve API calls until a stop signal, then finish those that were taken")
-        .command("serve")
-        .help("Serve API calls");
-    let config_of_check = config();
-    let check = construct!(Command::Check { config(config_of_check) })
-        .to_options()
-        .descr("Read the configuration, say what it comes to, and end")
-        .command("check")
-        .help("Check the configuration");
+    let serve = configured(
+        |config| Command::Serve { config },
+        "serve",
+        "Serve API calls until a stop signal, then finish those that were taken",
+        "Serve API calls",
+    );
+    let check = configured(
+        |config| Command::Check { config },
+        "check",
+        "Read the configuration, say what it comes to, and end",
+        "Check the configuration",
+    );
     let version = pure(Command::Version)
         .to_options()
         .descr("Say which version this is")
--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -25,6 +25,10 @@
     Fault { key: key.into(), trouble: trouble.to_string() }
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 /// The file as it is written.
 #[derive(Deserialize)]
 struct File<'a> {
@@ -56,15 +60,14 @@
 }
 
 impl Config {
-    /// Reads the configuration; `variable` gives the environment's variables.
-    pub fn load(path: Option<&Path>, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    pub fn load(path: Option<&Path>) -> Result<Config, Fault> {
         let path = path.map(PathBuf::from).or_else(|| variable("ROUTER_CONFIG").map(PathBuf::from));
         let path = path.ok_or_else(|| fault("ROUTER_CONFIG", "neither it nor --config names a file"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| fault(path.display().to_string(), e))?;
-        Config::read(&text, variable)
+        Config::read(&text)
     }
 
-    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    fn read(text: &str) -> Result<Config, Fault> {
         let file: File<'_> = granitelb_settings::read(text.as_bytes())?;
         let address = |key: &str, name: &str, given: Option<SocketAddr>| match (given, variable(name)) {
             (Some(address), _) => Ok(address),
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -32,7 +32,7 @@
 }
 
 fn load(path: Option<&Path>) -> Result<Config, String> {
-    Config::load(path, |name| std::env::var(name).ok()).map_err(|fault| format!("configuration, {fault}"))
+    Config::load(path).map_err(|fault| format!("configuration, {fault}"))
 }
 
 fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -253,7 +253,7 @@
         let stopping = self.stopping.map(|at| at + step);
         let wakes = [
             self.driver.next_wake(now),
-            self.transport.timers.first(),
+            self.transport.timers.first().map(|t| t.0),
             stopping,
             self.full_until,
             Some(self.tally_at),
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -6,7 +6,7 @@
 mod end;
 mod poller;
 mod ring;
-mod timers;
+mod time_order;
 
 use clock::Clock;
 pub use connection::{Connection, Listener};
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -1,6 +1,6 @@
 //! The epoll instance, and what all connections share: their timers and the budget of descriptors.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::BTreeMap;
 use std::io;
 
 use granitelb::units::{Span, Time};
@@ -8,7 +8,7 @@
 use rustix::fd::{AsFd, OwnedFd};
 
 use super::Clock;
-use super::timers::Timers;
+use super::time_order::TimeOrder;
 
 /// Which part of the program a descriptor belongs to; the layer above numbers its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,16 +43,15 @@
 pub struct Transport {
     epoll: OwnedFd,
     clock: Clock,
-    pub timers: Timers,
+    pub timers: TimeOrder,
     next: u64,
     /// Connections that are open, and how many may be.
     open: usize,
     most: usize,
     /// Whether the system had no descriptor to give, below that number too.
     ran_out: bool,
-    /// Each owner's connections that could be closed without loss, the one idle for longest first.
-    idle: BTreeMap<u8, BTreeSet<(Time, ConnId)>>,
-    idle_since: HashMap<ConnId, Time>,
+    /// Each owner's connections that could be closed without loss, by when they became so.
+    idle: BTreeMap<u8, TimeOrder>,
     events: Vec<epoll::Event>,
 }
 
@@ -61,13 +60,12 @@
         Ok(Transport {
             epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
             clock: Clock::start(),
-            timers: Timers::default(),
+            timers: TimeOrder::default(),
             next: 0,
             open: 0,
             most,
             ran_out: false,
             idle: BTreeMap::new(),
-            idle_since: HashMap::new(),
             events: Vec::with_capacity(EVENTS),
         })
     }
@@ -153,29 +151,25 @@
 
     /// Notes that a connection could now be closed without loss.
     pub fn idle(&mut self, id: ConnId, now: Time) {
-        self.busy(id);
-        self.idle_since.insert(id, now);
-        self.idle.entry(id.owner().0).or_default().insert((now, id));
+        self.idle.entry(id.owner().0).or_default().set(id, now);
     }
 
     pub fn busy(&mut self, id: ConnId) {
-        if let Some(since) = self.idle_since.remove(&id)
-            && let Some(idle) = self.idle.get_mut(&id.owner().0)
-        {
-            idle.remove(&(since, id));
+        if let Some(idle) = self.idle.get_mut(&id.owner().0) {
+            idle.clear(id);
         }
     }
 
     /// How many of an owner's connections are idle.
     pub fn idle_count(&self, owner: Owner) -> usize {
-        self.idle.get(&owner.0).map_or(0, BTreeSet::len)
+        self.idle.get(&owner.0).map_or(0, TimeOrder::len)
     }
 
     /// The connection that has been idle for longest, of one owner's or of all; none that became so only now,
     /// since what it is for may be on its way.
     pub fn idle_longest(&self, now: Time, owner: Option<Owner>) -> Option<ConnId> {
         let owners = self.idle.iter().filter(|(of, _)| owner.is_none_or(|o| o.0 == **of));
-        let (since, id) = *owners.filter_map(|(_, idle)| idle.first()).min()?;
+        let (since, id) = owners.filter_map(|(_, idle)| idle.first()).min()?;
         (now - since >= FRESH).then_some(id)
     }
 }
--- a/crates/node/src/transport/timers.rs
+++ b/crates/node/src/transport/time_order.rs
@@ -1,4 +1,4 @@
-//! One timer for each connection.
+//! Connections by a point in time, at most one for each: when their timers run out, or since when they are idle.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -7,20 +7,20 @@
 use super::ConnId;
 
 #[derive(Default)]
-pub struct Timers {
+pub struct TimeOrder {
     order: BTreeSet<(Time, ConnId)>,
     set: HashMap<ConnId, Time>,
 }
 
-impl Timers {
-    /// Sets a connection's timer, in place of the one it had.
+impl TimeOrder {
+    /// Sets a connection's point in time, in place of the one it had.
     pub fn set(&mut self, id: ConnId, at: Time) {
         self.clear(id);
         self.set.insert(id, at);
         self.order.insert((at, id));
     }
 
-    /// Sets a connection's timer unless it has one that runs out sooner.
+    /// Sets a connection's point in time unless it has an earlier one.
     pub fn set_first(&mut self, id: ConnId, at: Time) {
         if self.set.get(&id).is_none_or(|set| *set > at) {
             self.set(id, at);
@@ -33,13 +33,17 @@
         }
     }
 
-    pub fn first(&self) -> Option<Time> {
-        self.order.first().map(|t| t.0)
+    pub fn first(&self) -> Option<(Time, ConnId)> {
+        self.order.first().copied()
     }
 
-    /// A connection whose timer has run out; the timer is then no longer set.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// A connection whose point in time has come; it is then no longer set.
     pub fn due(&mut self, now: Time) -> Option<ConnId> {
-        let (_, id) = *self.order.first().filter(|t| t.0 <= now)?;
+        let (_, id) = self.first().filter(|t| t.0 <= now)?;
         self.clear(id);
         Some(id)
     }
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Ends it by a reset.
+    fn tear(self) {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).expect("a socket");
+    }
+
     /// A whole message's head and body, taken off the input.
     fn message(&mut self) -> Option<(String, Vec<u8>)> {
         let head_end = self.input.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
@@ -162,6 +167,14 @@
     listener
 }
 
+/// Fills a listener's queue, so that what knocks hears nothing.
+fn deafen(listener: &TcpListener) -> Vec<TcpStream> {
+    rustix::net::listen(listener, 0).expect("a socket");
+    let endpoint = listener.local_addr().expect("an address");
+    let knock = || TcpStream::connect_timeout(&endpoint, Duration::from_millis(100)).ok();
+    std::iter::from_fn(knock).collect()
+}
+
 impl Stage {
     fn new() -> Stage {
         static LAST: AtomicU8 = AtomicU8::new(1);
@@ -364,9 +377,7 @@
                 self.client(client).write(&text);
             }
             ["tear", client] => {
-                let conn = self.clients.remove(client).expect("a client");
-                let linger = Some(Duration::ZERO);
-                rustix::net::sockopt::set_socket_linger(&conn.stream, linger).expect("a socket");
+                self.clients.remove(client).expect("a client").tear();
             }
             ["starve", most] => {
                 let pid = rustix::process::Pid::from_child(self.child.as_ref().expect("a node"));
@@ -415,9 +426,7 @@
                 self.carriers.get_mut(id).expect("a shot").1.write(&text);
             }
             ["reset", id] => {
-                let (_, conn) = self.carriers.remove(id).expect("a shot");
-                let linger = Some(Duration::ZERO);
-                rustix::net::sockopt::set_socket_linger(&conn.stream, linger).expect("a socket");
+                self.carriers.remove(id).expect("a shot").1.tear();
             }
             ["reset-softly", id] => drop(self.carriers.remove(id)),
             ["cut", id] => {
@@ -475,22 +484,13 @@
                 }
             }
             ["deaf", "discovery"] => {
-                rustix::net::listen(&self.discovery, 0).expect("a socket");
-                let endpoint = self.discovery.local_addr().expect("an address");
-                let knock = || TcpStream::connect_timeout(&endpoint, Duration::from_millis(100)).ok();
-                self.fillers = std::iter::from_fn(knock).collect();
-                self.deaf = true;
+                (self.deaf, self.fillers) = (true, deafen(&self.discovery));
             }
             ["hear", "discovery"] => (self.deaf, self.fillers) = (false, Vec::new()),
             ["deaf", name] => {
-                // A listener with a full queue: what knocks hears nothing.
                 self.entry(name);
                 let cache = self.caches.get_mut(name).expect("one");
-                rustix::net::listen(cache.listener.as_ref().expect("one"), 0).expect("a socket");
-                let endpoint = cache.endpoint.expect("one");
-                let knock = || TcpStream::connect_timeout(&endpoint, Duration::from_millis(100)).ok();
-                cache.fillers = std::iter::from_fn(knock).collect();
-                cache.deaf = true;
+                (cache.deaf, cache.fillers) = (true, deafen(cache.listener.as_ref().expect("one")));
             }
             ["hear", name] => {
                 let cache = self.caches.get_mut(name).expect("one");
