--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use granitelb::units::Span;
 use granitelb_settings::{Decoded, Fault};
 use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
@@ -14,7 +15,7 @@
 use serde_json::value::RawValue;
 
 use crate::protocol::Listings;
-use crate::routing::Setup;
+use crate::routing::{Live, Setup};
 
 /// Where nothing says how many descriptors there are.
 const DESCRIPTORS: u64 = 1024;
@@ -53,7 +54,8 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
-    seed: u64,
+    /// Drawn at the start where none is given.
+    seed: Option<u64>,
     descriptors: u64,
     known: Option<Listings>,
     settings: Decoded,
@@ -87,14 +89,8 @@
             let trouble = format!("{descriptors} descriptors are too few, {FEWEST_DESCRIPTORS} are needed");
             return Err(fault("limits.sockets", trouble));
         }
-        let seed = match &file.seed {
-            Some(text) => u64::from_str_radix(text, 16).map_err(|e| fault("seed", e))?,
-            // A node alone on its machine differs from others by its number of process and its start.
-            None => {
-                let start = std::time::UNIX_EPOCH.elapsed().unwrap_or_default().as_nanos() as u64;
-                start ^ u64::from(std::process::id()) << 40
-            }
-        };
+        let seed = file.seed.as_deref().map(|text| u64::from_str_radix(text, 16));
+        let seed = seed.transpose().map_err(|e| fault("seed", e))?;
         Ok(Config {
             name: file.name.or_else(|| variable("ROUTER_NAME")).unwrap_or_else(|| "node".into()),
             listen: address("listen", "ROUTER_LISTEN", file.listen)?,
@@ -106,9 +102,36 @@
         })
     }
 
-    pub fn into_setup(self) -> Setup {
-        let Config { listen, discovery, seed, descriptors, known, settings, .. } = self;
-        Setup { listen, discovery, seed, descriptors: descriptors as usize, known, settings }
+    pub fn setup(&self) -> Setup {
+        let seed = self.seed.unwrap_or_else(|| {
+            // A node alone on its machine differs from others by its number of process and its start.
+            let start = std::time::UNIX_EPOCH.elapsed().unwrap_or_default().as_nanos() as u64;
+            start ^ u64::from(std::process::id()) << 40
+        });
+        let (known, settings) = (self.known.clone(), self.settings.clone());
+        Setup { listen: self.listen, seed, known, settings, live: self.live() }
+    }
+
+    /// What a running node can take up.
+    pub fn live(&self) -> Live {
+        Live {
+            discovery: self.discovery,
+            descriptors: self.descriptors as usize,
+            connect_limit: self.settings.connect_limit,
+            keepalive: self.settings.keepalive,
+        }
+    }
+
+    /// The keys in which this one differs from the one that a running node was started with, and which it can't
+    /// take up: clients are on their way to its address, and what was learnt hangs on seed and settings.
+    pub fn for_next_start(&self, running: &Config) -> Vec<&'static str> {
+        let lasting = |s: &Decoded| Decoded { connect_limit: Span::ZERO, keepalive: Span::ZERO, ..s.clone() };
+        let differs = [
+            ("listen", self.listen != running.listen),
+            ("seed", self.seed != running.seed),
+            ("settings", lasting(&self.settings) != lasting(&running.settings)),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 }
 
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -1,14 +1,15 @@
-//! The program: its command line, its configuration, its log and the signal that stops it.
+//! The program: its command line, its configuration, its log and the signals it heeds.
 
 mod command;
 mod config;
+mod signals;
 
-use std::os::unix::net::UnixStream;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use command::Command;
 use config::Config;
+use signals::Signals;
 
 use crate::routing::Node;
 
@@ -26,7 +27,7 @@
     match command {
         Command::Version => println!("granitelb {}", env!("CARGO_PKG_VERSION")),
         Command::Check { config } => println!("{}", load(config.as_deref())?),
-        Command::Serve { config } => serve(load(config.as_deref())?)?,
+        Command::Serve { config } => serve(config)?,
     }
     Ok(())
 }
@@ -35,16 +36,15 @@
     Config::load(path).map_err(|fault| format!("configuration, {fault}"))
 }
 
-fn serve(config: Config) -> Result<(), Box<dyn std::error::Error>> {
+fn serve(path: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    // Both signals that ask a program to end end it in the same way.
-    let (stop, wake) = UnixStream::pair()?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGINT, wake.try_clone()?)?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, wake)?;
-    log::info!("{config}");
-    let node = Node::open(config.into_setup())?;
+    let config = load(path.as_deref())?;
+    // Before anything is served: a signal that nobody heeds ends the program.
+    let signals = Signals::heed(path, config)?;
+    log::info!("{}", signals.config());
+    let node = Node::open(signals.config().setup())?;
     log::info!("ready");
-    node.serve(stop)?;
+    node.serve(signals)?;
     log::info!("ended");
     Ok(())
 }
--- /dev/null
+++ b/crates/node/src/program/signals.rs
@@ -0,0 +1,66 @@
+//! The signals that a serving node heeds, put into orders for it.
+
+use std::io;
+use std::os::fd::{AsFd, BorrowedFd};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::backend::SignalDelivery;
+use signal_hook::iterator::exfiltrator::SignalOnly;
+
+use super::config::Config;
+use super::load;
+use crate::routing::{Operator, Order};
+
+pub struct Signals {
+    signals: SignalDelivery<UnixStream, SignalOnly>,
+    path: Option<PathBuf>,
+    /// What the node was started with.
+    running: Config,
+}
+
+impl Signals {
+    pub fn heed(path: Option<PathBuf>, running: Config) -> io::Result<Signals> {
+        let (read, write) = UnixStream::pair()?;
+        // Both signals that ask a program to end end it in the same way.
+        let heeded = [SIGINT, SIGTERM, SIGHUP];
+        let signals = SignalDelivery::with_pipe(read, write, SignalOnly, heeded)?;
+        Ok(Signals { signals, path, running })
+    }
+
+    pub fn config(&self) -> &Config {
+        &self.running
+    }
+
+    /// Reads the configuration again; one with a fault changes nothing.
+    fn reload(&self) -> Option<Order> {
+        match load(self.path.as_deref()) {
+            Ok(config) => {
+                log::info!("read again: {config}");
+                for key in config.for_next_start(&self.running) {
+                    log::warn!("configuration, {key}: it differs, and is taken up at the next start only");
+                }
+                Some(Order::Reload(config.live()))
+            }
+            Err(trouble) => {
+                log::error!("{trouble}; the configuration before it stays in force");
+                None
+            }
+        }
+    }
+}
+
+impl AsFd for Signals {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.signals.get_read().as_fd()
+    }
+}
+
+impl Operator for Signals {
+    fn orders(&mut self) -> Vec<Order> {
+        let came: Vec<_> = self.signals.pending().collect();
+        let order = |signal| if signal == SIGHUP { self.reload() } else { Some(Order::Stop) };
+        came.into_iter().filter_map(order).collect()
+    }
+}
--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -68,10 +68,17 @@
 
 impl Clients {
     pub fn new(owner: Owner, most_descriptors: usize, names: Names, client_timeouts: Vec<Span>) -> Clients {
-        let share = |share: f64| ((most_descriptors as f64 * share) as usize).max(1);
-        let (most, beyond) = (share(CLIENTS_SHARE), share(BEYOND_SHARE));
         let offer = Offer { names, client_timeouts };
-        Clients { owner, clients: BTreeMap::new(), most, beyond, offer, closing: false }
+        let mut clients =
+            Clients { owner, clients: BTreeMap::new(), most: 0, beyond: 0, offer, closing: false };
+        clients.set_descriptors(most_descriptors);
+        clients
+    }
+
+    /// Sets of how many descriptors in all clients have their shares.
+    pub fn set_descriptors(&mut self, most: usize) {
+        let share = |share: f64| ((most as f64 * share) as usize).max(1);
+        (self.most, self.beyond) = (share(CLIENTS_SHARE), share(BEYOND_SHARE));
     }
 
     /// Whether there are as many clients as are served.
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -11,5 +11,5 @@
 mod tally;
 mod watch;
 
-pub use node::{Node, Setup};
+pub use node::{Live, Node, Operator, Order, Setup};
 pub use outcome::ShotFate;
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -20,10 +20,10 @@
 const CLIENTS: Owner = Owner(1);
 const SERVERS: Owner = Owner(2);
 const DISCOVERY: Owner = Owner(3);
-const STOP: Owner = Owner(4);
+const OPERATOR: Owner = Owner(4);
 
-/// Descriptors that are no connections: standard streams, epoll, the listener, the stop signal's three, and a few
-/// that a library may open for a moment.
+/// Descriptors that are no connections: standard streams, epoll, the listener, the signals' two, and a few that are
+/// opened for a moment, as for a configuration that is read again.
 const OWN_DESCRIPTORS: usize = 12;
 /// Descriptors that are kept free for shots by closing what is idle: this share of all, and so many at the most.
 const FREE_SHARE: f64 = 0.125;
@@ -45,11 +45,30 @@
 /// What a node is made from.
 pub struct Setup {
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
     pub seed: u64,
-    pub descriptors: usize,
     pub known: Option<Listings>,
     pub settings: Decoded,
+    pub live: Live,
+}
+
+/// What a running node can take up anew.
+pub struct Live {
+    pub discovery: SocketAddr,
+    pub descriptors: usize,
+    pub connect_limit: Span,
+    pub keepalive: Span,
+}
+
+/// What a serving node is told to do.
+pub enum Order {
+    /// To finish what it has taken, and end.
+    Stop,
+    Reload(Live),
+}
+
+/// Whoever gives the orders; its descriptor can be read from when there are some.
+pub trait Operator: AsFd {
+    fn orders(&mut self) -> Vec<Order>;
 }
 
 pub struct Node {
@@ -72,21 +91,32 @@
     full_until: Option<Time>,
 }
 
+/// How many of so many descriptors are for connections.
+fn for_connections(descriptors: usize) -> usize {
+    descriptors.saturating_sub(OWN_DESCRIPTORS).max(8)
+}
+
+/// How many of these are kept free.
+fn kept_free(connections: usize) -> usize {
+    ((connections as f64 * FREE_SHARE) as usize).min(MOST_FREE)
+}
+
 impl Node {
     pub fn open(setup: Setup) -> io::Result<Node> {
-        let descriptors = setup.descriptors.saturating_sub(OWN_DESCRIPTORS).max(8);
+        let live = setup.live;
+        let descriptors = for_connections(live.descriptors);
         let mut transport = Transport::new(descriptors)?;
         let listener = Listener::open(&mut transport, setup.listen, LISTENER)?;
         let now = transport.now();
-        let Decoded { decisions, names, client_timeouts, connect_limit, keepalive } = setup.settings;
+        let Decoded { decisions, names, client_timeouts, .. } = setup.settings;
         let longest_call = client_timeouts.iter().copied().max().unwrap_or_default();
         let unasked = !decisions.list_on_request;
         let brain = Brain::new(decisions, setup.seed, now);
         let revision = setup.known.as_ref().map(|k| k.revision);
         let mut node = Node {
             clients: Clients::new(CLIENTS, descriptors, names.clone(), client_timeouts),
-            servers: Servers::new(SERVERS, connect_limit, keepalive),
-            watch: Watch::new(DISCOVERY, setup.discovery, connect_limit, revision),
+            servers: Servers::new(SERVERS, live.connect_limit, live.keepalive),
+            watch: Watch::new(DISCOVERY, live.discovery, live.connect_limit, revision),
             driver: Driver::new(brain, names),
             exchanges: Exchanges::default(),
             listener: Some(listener),
@@ -94,7 +124,7 @@
             stopping: None,
             idle_closed: false,
             longest_call,
-            kept_free: ((descriptors as f64 * FREE_SHARE) as usize).min(MOST_FREE),
+            kept_free: kept_free(descriptors),
             tally_at: now + TALLY,
             full_until: None,
         };
@@ -113,9 +143,9 @@
         (driver, Sides { transport, exchanges, clients, servers, watch })
     }
 
-    /// Serves until `stop` can be read from, and then until what was taken is answered.
-    pub fn serve(mut self, stop: impl AsFd) -> io::Result<()> {
-        self.transport.tell_once(&stop, STOP)?;
+    /// Serves until it is told to stop, and then until what was taken is answered.
+    pub fn serve(mut self, mut operator: impl Operator) -> io::Result<()> {
+        self.transport.tell(&operator, OPERATOR)?;
         let mut now = self.transport.now();
         loop {
             let (driver, mut sides) = self.parts();
@@ -127,10 +157,37 @@
             let until = self.next_wake(now);
             let events = self.transport.wait(until)?;
             now = self.transport.now();
+            if events.iter().any(|e| e.id.owner() == OPERATOR) {
+                operator.orders().into_iter().for_each(|order| self.carry_out(now, order));
+            }
             self.turn(now, &events);
         }
     }
 
+    fn carry_out(&mut self, now: Time, order: Order) {
+        match order {
+            // Told again, it keeps to the time that it has.
+            Order::Stop if self.stopping.is_some() => {}
+            Order::Stop => {
+                log::info!("stopping: finishing what was taken");
+                self.stopping = Some(now);
+                self.clients.begin_closing();
+            }
+            Order::Reload(live) => {
+                let descriptors = for_connections(live.descriptors);
+                self.transport.set_most(descriptors);
+                self.clients.set_descriptors(descriptors);
+                self.kept_free = kept_free(descriptors);
+                self.servers.set_times(live.connect_limit, live.keepalive);
+                if let Some(heard) =
+                    self.watch.move_to(&mut self.transport, now, live.discovery, live.connect_limit)
+                {
+                    self.hear(now, &[heard]);
+                }
+            }
+        }
+    }
+
     fn turn(&mut self, now: Time, events: &[Event]) {
         for event in events {
             match event.id.owner() {
@@ -141,11 +198,6 @@
                     let heard = self.watch.event(&mut self.transport, now, *event);
                     self.hear(now, &heard);
                 }
-                STOP => {
-                    log::info!("stopping: finishing what was taken");
-                    self.stopping = Some(now);
-                    self.clients.begin_closing();
-                }
                 _ => {}
             }
         }
@@ -177,8 +229,8 @@
             CLIENTS => self.clients.timer(&mut self.transport, &mut self.exchanges, now, id),
             SERVERS => self.servers.timer(&mut self.transport, &mut self.exchanges, now, id),
             DISCOVERY => {
-                let heard = self.watch.timer(&mut self.transport);
-                self.hear(now, &[heard]);
+                let heard = self.watch.timer(&mut self.transport, id);
+                self.hear(now, heard.as_slice());
             }
             _ => {}
         }
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Sets the times of connections from now on.
+    pub fn set_times(&mut self, connect_limit: Span, keepalive: Span) {
+        (self.connect_limit, self.keepalive) = (connect_limit, keepalive.scaled(IDLE_SHARE));
+    }
+
     /// Takes up where a cache is that is to get shots.
     pub fn place(
         &mut self,
--- a/crates/node/src/routing/watch.rs
+++ b/crates/node/src/routing/watch.rs
@@ -5,7 +5,7 @@
 use granitelb::units::{Span, Time};
 
 use crate::protocol::{Listings, Piece, Reader, Side};
-use crate::transport::{Connection, End, Event, Owner, Transport};
+use crate::transport::{ConnId, Connection, End, Event, Owner, Transport};
 
 /// A line comes every two seconds at least: after two such times and a quarter without one the watch is lost.
 /// What it missed counts as told 6 s after it was to be said; a new watch, asked for within 0.75 s and answered
@@ -20,10 +20,18 @@
     Lost,
 }
 
+impl Heard {
+    fn list(&self) -> Option<&Listings> {
+        if let Heard::Listed(list) = self { Some(list) } else { None }
+    }
+}
+
 struct Open {
     connection: Connection,
     reader: Reader,
     answered: bool,
+    /// Whether anything was heard on it.
+    stands: bool,
     line: Vec<u8>,
 }
 
@@ -34,23 +42,47 @@
     connect_limit: Span,
     revision: Option<u64>,
     open: Option<Open>,
-    /// Whether anything was heard on this watch.
-    stands: bool,
+    /// The watch at an address that discovery has left, heeded until one at the new address stands.
+    former: Option<Open>,
 }
 
 impl Watch {
     pub fn new(owner: Owner, discovery: SocketAddr, connect_limit: Span, revision: Option<u64>) -> Watch {
         let revision = revision.filter(|r| *r > 0);
         let host = discovery.to_string();
-        Watch { owner, discovery, host, connect_limit, revision, open: None, stands: false }
+        Watch { owner, discovery, host, connect_limit, revision, open: None, former: None }
+    }
+
+    /// Goes on with the list at another address.
+    pub fn move_to(
+        &mut self,
+        transport: &mut Transport,
+        now: Time,
+        discovery: SocketAddr,
+        connect_limit: Span,
+    ) -> Option<Heard> {
+        self.connect_limit = connect_limit;
+        if discovery == self.discovery {
+            return None;
+        }
+        log::info!("the watch on the list moves from {} to {discovery}", self.discovery);
+        (self.discovery, self.host) = (discovery, discovery.to_string());
+        // Whoever is there may count revisions of its own: the whole list is asked for. It changes only what differs.
+        self.revision = None;
+        if let Some(open) = self.open.take_if(|o| o.stands)
+            && let Some(older) = self.former.replace(open)
+        {
+            older.connection.close(transport);
+        }
+        self.ask(transport, now)
     }
 
     /// Asks for a watch, in place of one that was not answered.
     pub fn ask(&mut self, transport: &mut Transport, now: Time) -> Option<Heard> {
-        if self.stands {
+        if self.open.as_ref().is_some_and(|o| o.stands) {
             return None;
         }
-        self.close(transport, End::GivenUp);
+        close(transport, &mut self.open, End::GivenUp);
         let mut connection = match Connection::begin(transport, self.discovery, self.owner) {
             Ok(connection) => connection,
             Err(end) => {
@@ -63,38 +95,54 @@
         connection.output.push(text.as_bytes());
         transport.timers.set(connection.id, now + self.connect_limit);
         let reader = Reader::new(Side::Answering);
-        self.open = Some(Open { connection, reader, answered: false, line: Vec::new() });
+        self.open = Some(Open { connection, reader, answered: false, stands: false, line: Vec::new() });
         None
     }
 
     pub fn event(&mut self, transport: &mut Transport, now: Time, event: Event) -> Vec<Heard> {
         let mut heard = Vec::new();
-        if let Err(end) = self.go_on(transport, now, event, &mut heard) {
-            heard.push(self.lose(transport, end));
+        let of_former = self.former.as_ref().is_some_and(|o| o.connection.id == event.id);
+        let watch = if of_former { &mut self.former } else { &mut self.open };
+        let Some(open) = watch.as_mut().filter(|o| o.connection.id == event.id) else { return heard };
+        let went_on = open.go_on(transport, now, event, &mut heard);
+        let stands = open.stands;
+        for list in heard.iter().filter_map(Heard::list).filter(|l| !of_former && l.revision > 0) {
+            self.revision = Some(list.revision);
+        }
+        if let Err(end) = went_on {
+            heard.extend(self.lose(transport, event.id, end));
+        } else if !of_former && stands {
+            close(transport, &mut self.former, End::Done);
         }
         heard
     }
 
     /// Nothing was said for too long.
-    pub fn timer(&mut self, transport: &mut Transport) -> Heard {
+    pub fn timer(&mut self, transport: &mut Transport, id: ConnId) -> Option<Heard> {
         let up = self.open.as_ref().is_some_and(|o| o.connection.is_up());
-        self.lose(transport, if up { End::Silent } else { End::NeverUp })
+        self.lose(transport, id, if up { End::Silent } else { End::NeverUp })
     }
 
-    fn lose(&mut self, transport: &mut Transport, end: End) -> Heard {
+    fn lose(&mut self, transport: &mut Transport, id: ConnId, end: End) -> Option<Heard> {
+        if self.former.as_ref().is_some_and(|o| o.connection.id == id) {
+            // The one at the new address is asked for already.
+            close(transport, &mut self.former, end);
+            return None;
+        }
         log::warn!("the watch on the list is lost: {end:?}");
-        self.close(transport, end);
-        Heard::Lost
+        close(transport, &mut self.open, end);
+        Some(Heard::Lost)
     }
+}
 
-    fn close(&mut self, transport: &mut Transport, end: End) {
-        self.stands = false;
-        if let Some(open) = self.open.take() {
-            log::debug!("connection to discovery ended: {end:?}");
-            open.connection.close(transport);
-        }
+fn close(transport: &mut Transport, watch: &mut Option<Open>, end: End) {
+    if let Some(open) = watch.take() {
+        log::debug!("connection to discovery ended: {end:?}");
+        open.connection.close(transport);
     }
+}
 
+impl Open {
     fn go_on(
         &mut self,
         transport: &mut Transport,
@@ -102,7 +150,7 @@
         event: Event,
         heard: &mut Vec<Heard>,
     ) -> Result<(), End> {
-        let Some(open) = self.open.as_mut().filter(|o| o.connection.id == event.id) else { return Ok(()) };
+        let open = self;
         if !open.connection.is_up() {
             open.connection.come_up()?;
             transport.timers.set(open.connection.id, now + SILENCE);
@@ -123,12 +171,9 @@
                     transport.timers.set(open.connection.id, now + SILENCE);
                     while let Some(end) = open.line.iter().position(|b| *b == b'\n') {
                         let line: Vec<u8> = open.line.drain(..=end).collect();
-                        let first = !self.stands;
-                        self.stands = true;
-                        if let Some(listings) = read_line(line.trim_ascii(), first) {
-                            self.revision = Some(listings.revision).filter(|r| *r > 0).or(self.revision);
-                            heard.push(Heard::Listed(listings));
-                        }
+                        let first = !open.stands;
+                        open.stands = true;
+                        heard.extend(read_line(line.trim_ascii(), first).map(Heard::Listed));
                     }
                     if open.line.len() > MOST_LINE {
                         return Err(End::Malformed);
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -98,9 +98,14 @@
         Ok(events.collect())
     }
 
-    /// Has epoll tell, once, that something of the caller's own can be read from.
-    pub fn tell_once(&mut self, fd: impl AsFd, owner: Owner) -> io::Result<ConnId> {
-        self.register(fd, owner, epoll::EventFlags::IN | epoll::EventFlags::ONESHOT)
+    /// Has epoll tell whenever something of the caller's own can be read from.
+    pub fn tell(&mut self, fd: impl AsFd, owner: Owner) -> io::Result<ConnId> {
+        self.register(fd, owner, epoll::EventFlags::IN)
+    }
+
+    /// Sets how many connections may be open; those beyond go when they are idle.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
     }
 
     /// Registers a descriptor; closing it ends that.
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -6,7 +6,9 @@
 //!
 //! `watched [after=N]` the node asks for the list; `list NAME ...`, `change NAME ...` tell it, a name may carry
 //! `:STATE` and `@BOOT_MS` (`@now-MS`); `beat`, `garble` send an empty line and one that is no list; `unlisted` refuses,
-//! `unwatched` ends the watch. `call CLIENT PRODUCT KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`
+//! `unwatched` ends the watch. `reload [K=JSON ...]` changes the configuration's file and has it read again; with
+//! `move-discovery` it names another address from the next time on, and `former-change NAME ...`, `former-ended` are as
+//! before on the watch at the last one. `call CLIENT PRODUCT KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`
 //! write; `leave CLIENT` closes, `tear CLIENT` resets. `calm MS` the node hardly uses its core. `shot CACHE ID [put=BODY]` a shot arrives, an upper-case name standing for
 //! whichever cache it is first seen at, `any` for any; `reply ID STATUS [body=TEXT] [HEADER: VALUE]`, `part ID TEXT`, `reset ID`
 //! act on its connection, `cut ID` sees it ended. `answer CLIENT STATUS [body=TEXT]`, `ended CLIENT`, `kept CLIENT`
@@ -112,6 +114,7 @@
     fillers: Vec<TcpStream>,
     asked: Vec<Conn>,
     watch: Option<Conn>,
+    former: Option<Conn>,
     revision: u64,
     caches: BTreeMap<String, Cache>,
     bound: BTreeMap<String, String>,
@@ -209,6 +212,7 @@
             fillers: Vec::new(),
             asked: Vec::new(),
             watch: None,
+            former: None,
             revision: 7,
             caches: BTreeMap::new(),
             bound: BTreeMap::new(),
@@ -224,7 +228,8 @@
         {
             self.asked.push(Conn::new(stream));
         }
-        self.asked.iter_mut().chain(&mut self.watch).chain(self.clients.values_mut()).for_each(Conn::poll);
+        self.asked.iter_mut().chain(&mut self.watch).chain(&mut self.former).for_each(Conn::poll);
+        self.clients.values_mut().for_each(Conn::poll);
         self.carriers.values_mut().for_each(|(_, c)| c.poll());
         for (name, cache) in &mut self.caches {
             while let Some((stream, _)) =
@@ -290,9 +295,27 @@
         self.watch.as_mut().expect("a watch").write(chunk.as_bytes());
     }
 
-    fn start(&mut self) {
+    /// Changes keys of the configuration, each under this path.
+    fn configure(&mut self, under: &str, words: &[&str]) {
+        for (path, value) in words.iter().filter_map(|w| w.split_once('=')) {
+            let path = path.split('.').fold(under.to_string(), |p, part| format!("{p}/{part}"));
+            *self.config.pointer_mut(&path).expect("a key") = value.parse().expect("JSON");
+        }
+    }
+
+    fn write_config(&self) -> std::path::PathBuf {
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", self.address));
         std::fs::write(&path, self.config.to_string()).expect("a file");
+        path
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(self.child.as_ref().expect("a node"));
+        rustix::process::kill_process(pid, signal).expect("a process");
+    }
+
+    fn start(&mut self) {
+        let path = self.write_config();
         let mut program = Command::new(env!("CARGO_BIN_EXE_granitelb"));
         let program = program.args(["serve", "--config"]).arg(&path);
         self.child = Some(program.stderr(Stdio::null()).spawn().expect("the program"));
@@ -322,12 +345,25 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         let rest = || line.splitn(3, ' ').nth(2).unwrap_or_default();
         match words[..] {
-            ["settings", ..] | ["limits", ..] => {
-                for (path, value) in words[1..].iter().filter_map(|w| w.split_once('=')) {
-                    let path =
-                        path.split('.').fold(format!("/{}", words[0]), |p, part| format!("{p}/{part}"));
-                    *self.config.pointer_mut(&path).expect("a key") = value.parse().expect("JSON");
-                }
+            ["settings", ..] | ["limits", ..] => self.configure(&format!("/{}", words[0]), &words[1..]),
+            ["reload", ref changes @ ..] => {
+                self.configure("", changes);
+                self.write_config();
+                self.signal(rustix::process::Signal::HUP);
+            }
+            ["move-discovery"] => {
+                self.discovery = free(&self.address);
+                self.former = self.watch.take();
+                self.config["discovery"] =
+                    self.discovery.local_addr().expect("an address").to_string().into();
+            }
+            ["former-change", ..] => {
+                std::mem::swap(&mut self.watch, &mut self.former);
+                self.play(line.strip_prefix("former-").expect("just seen"));
+                std::mem::swap(&mut self.watch, &mut self.former);
+            }
+            ["former-ended"] => {
+                self.until(line, |s| s.former.take_if(|f| f.ended));
             }
             ["known", ref names @ ..] => self.config["known"] = self.list(names, true),
             ["start"] => self.start(),
@@ -536,8 +572,7 @@
                 cache.conns.clear();
             }
             ["stop"] => {
-                let pid = rustix::process::Pid::from_child(self.child.as_ref().expect("a node"));
-                rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("a process");
+                self.signal(rustix::process::Signal::TERM);
             }
             ["exits"] => {
                 let status = self.until(line, |s| s.child.as_mut()?.try_wait().expect("a process"));
@@ -608,6 +643,7 @@
 #[test_case(include_str!("scenarios/outcomes.txt"); "outcomes")]
 #[test_case(include_str!("scenarios/parsers.txt"); "parsers")]
 #[test_case(include_str!("scenarios/refused.txt"); "refused")]
+#[test_case(include_str!("scenarios/reload.txt"); "reload")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 #[test_case(include_str!("scenarios/same-table.txt"); "same_table")]
 #[test_case(include_str!("scenarios/starved.txt"); "starved")]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 
 /// What the settings say to the decisions, and what they say to whoever hosts them on sockets.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Decoded {
     pub decisions: Settings,
     pub names: Names,
@@ -21,7 +22,7 @@
 }
 
 /// Names by the numbers that stand for them.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     pub products: Vec<String>,
     pub tenants: Vec<String>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,7 @@
 use crate::ids::KindId;
 use crate::units::Span;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub mode: Mode,
     pub products: Vec<Product>,
@@ -50,7 +50,7 @@
     Aside { origin: KindId },
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Product {
     pub slo: Span,
     pub billed_value: f64,
