--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 //! passes, and `answer`, which every final answer passes. Where this leaves its design: `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
 use std::ops::Bound::{Excluded, Unbounded};
 
 use crate::calls::{Answer, ApiCall, Listing, Outcome, Shot, ShotEnd};
@@ -102,6 +102,8 @@
     /// The part of its keys that it may take, by its listed load.
     part: f64,
     push: f64,
+    /// When the last of the shots was sent that were answered soon.
+    overtook: Time,
 }
 
 struct KeyWeights {
@@ -193,9 +195,7 @@
 }
 
 fn hash_of(parts: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    parts.hash(&mut hasher);
-    hasher.finish()
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(parts)
 }
 
 /// A hash as a number from 0 to 1.
@@ -260,8 +260,8 @@
     /// The list could not be had, or the watch was lost.
     pub fn list_failed(&mut self, now: Time) {
         self.heard(now);
-        let wait = self.reask.map_or(FIRST_REASK, |(_, wait)| Span(wait.0 * 2));
-        let wait = wait.min(self.settings.must_ask_in.scaled(REASK_SHARE)).max(FIRST_REASK);
+        let most = self.settings.must_ask_in.scaled(REASK_SHARE);
+        let wait = self.reask.map_or(FIRST_REASK, |r| Span(r.1.0 * 2).min(most).max(FIRST_REASK));
         self.reask = Some((now + wait.scaled(0.5 + self.chance()), wait));
     }
 
@@ -309,16 +309,15 @@
         let slower = latency.as_secs_f64() > self.latency(now, sent.call.product, false);
         let fetch_failed = self.settings.mode == Mode::Through && outcome == Outcome::Errored && slower;
         self.judge(now, &sent, outcome, latency, fetch_failed);
-        let origin = self.is_origin(cache);
+        let (origin, lost) = (self.is_origin(cache), self.is_overtaken(&sent));
         let Some(open) = self.open.get_mut(&id) else { return };
-        if let Some(shot) = open.shots.get_mut(number.0 as usize) {
-            shot.out = false;
-        }
+        open.shots.iter_mut().skip(number.0 as usize).take(1).for_each(|shot| shot.out = false);
         if !outcome.proves_it_never_ran() && open.may_have_run.is_none_or(|n| n > number.0 as usize) {
             open.may_have_run = Some(number.0 as usize);
         }
         open.lacking |= outcome == Outcome::Lacking && !origin;
-        if !origin && !matches!(outcome, Outcome::Full | Outcome::Moot) {
+        let stays = matches!(outcome, Outcome::Full | Outcome::Moot) || outcome == Outcome::Recalled && lost;
+        if !origin && !stays {
             open.passed.push(cache);
         }
         self.release_joined(id);
@@ -367,8 +366,7 @@
     pub fn next_wake(&self, now: Time) -> Option<Time> {
         let alarm = self.alarms.first().map(|a| a.0);
         let recheck = (!self.ready.is_empty()).then_some(now + RECHECK);
-        let wake = [alarm, recheck, self.reask.map(|r| r.0)].into_iter().flatten().min();
-        wake.map(|w| w.max(now))
+        [alarm, recheck, self.reask.map(|r| r.0)].into_iter().flatten().min().map(|w| w.max(now))
     }
 }
 
@@ -397,8 +395,7 @@
             return None;
         }
         let target = if asks_origin {
-            let mut origins = self.caches.values().filter(|c| c.is_origin).map(|c| c.listing.cache);
-            origins.find(|c| self.is_free(now, id, *c))
+            self.caches.keys().copied().find(|c| self.is_origin(*c) && self.is_free(now, id, *c))
         } else {
             self.best_candidate(now, id)
         };
@@ -444,8 +441,7 @@
         let tried = |at| at <= now && c.limit.in_flight < 1.0 && self.effect(open) == Effect::Idempotent;
         let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
         let fetch_fits = || self.fetches.has_room(now) || self.fetch_odds(now, &open.call, cache) == 0.0;
-        let spare_fits = !open.over_quota || self.spare.has_room(now);
-        !barred && spare_fits && c.limit.has_room(now) && fetch_fits()
+        !barred && (!open.over_quota || self.spare.has_room(now)) && c.limit.has_room(now) && fetch_fits()
     }
 
     /// How likely a through cache will have to ask the origin. With many nodes it mostly holds what another
@@ -522,8 +518,7 @@
         let work = self.work_of(now, &self.open[&id].call);
         let fetch = self.fetch_odds(now, &self.open[&id].call, cache);
         let open = self.open.get_mut(&id).expect("placed calls are open");
-        let end = open.end;
-        let (call, over_quota) = (open.call, open.over_quota);
+        let (call, over_quota, end) = (open.call, open.over_quota, open.end);
         let sent = Sent { call, cache, at: now, out: true, fetch, over_quota };
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
@@ -540,6 +535,7 @@
         c.usage.step_by(now, 1.0);
         self.sent.add(now, if origin { 0.0 } else { work });
         c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
+        self.alarms.insert((now + self.product(call.product).slo.scaled(SLOW_SHARE), id));
         Shot { api_call: id, cache, give_up_after: end - now }
     }
 }
@@ -570,6 +566,23 @@
         self.answers.push_back((id, answer));
     }
 
+    /// Calls off a slow shot that a later one to its cache has overtaken, and not by chance of their ways: in a
+    /// queue none passes the other, so its answer is lost. Waited for, it would cost the call its SLO.
+    fn call_off_lost(&mut self, now: Time, id: ApiCallId) {
+        let open = &self.open[&id];
+        let may = self.settings.may_recall && self.effect(open) == Effect::Idempotent;
+        let Some(n) = open.first_out().filter(|_| may) else { return };
+        if self.is_overtaken(&open.shots[n]) {
+            self.recalls.push_back((id, ShotNumber(n as u8)));
+        } else {
+            self.alarms.insert((now + LEARNING_STEP.scaled(0.5), id));
+        }
+    }
+
+    fn is_overtaken(&self, sent: &Sent) -> bool {
+        self.caches.get(&sent.cache).is_some_and(|c| c.overtook > sent.at + RECHECK)
+    }
+
     fn close(&mut self, id: ApiCallId) {
         self.release_joined(id);
         let Some(open) = self.open.remove(&id) else { return };
@@ -599,9 +612,7 @@
         self.heard(now);
         if complete {
             let named: BTreeSet<CacheId> = listings.iter().map(|l| l.cache).collect();
-            for c in self.caches.values_mut() {
-                c.listing.ready &= named.contains(&c.listing.cache);
-            }
+            self.caches.values_mut().for_each(|c| c.listing.ready &= named.contains(&c.listing.cache));
         }
         for listing in listings {
             let nominal = self.nominal.entry(listing.kind).or_insert(listing.size);
@@ -641,6 +652,8 @@
                 self.answer(id, Answer::Errored);
             } else if at >= open.slo_end && open.first_out().is_none() {
                 self.give_up(id);
+            } else {
+                self.call_off_lost(now, id);
             }
         }
         let steps = (now - self.learned).0 / LEARNING_STEP.0;
@@ -684,8 +697,7 @@
         let total = self.asked.read(now).max(1.0);
         let asked = self.keys.get(&call.key).map_or(0.0, |k| k.asked.read(now)) + 1.0;
         let slot = self.slot_of(call.key, (asked - SURE * asked.sqrt()) / total);
-        let ranked = self.table[slot as usize].unwrap_or_else(|| self.rank(slot));
-        self.table[slot as usize] = Some(ranked);
+        self.table[slot as usize] = self.table[slot as usize].or_else(|| Some(self.rank(slot)));
         let fresh = self.start_weights(call.key, slot);
         let version = self.table_version;
         let weights = self.keys.entry(call.key).or_insert_with(|| KeyWeights {
@@ -760,8 +772,7 @@
 
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
     fn judge(&mut self, now: Time, sent: &Sent, outcome: Outcome, latency: Span, fetch_failed: bool) {
-        let origin = self.is_origin(sent.cache);
-        let chance = self.chance();
+        let (origin, chance) = (self.is_origin(sent.cache), self.chance());
         // Every answer of the origin's own is a fetch.
         let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
         let slo = self.product(sent.call.product).slo;
@@ -792,11 +803,19 @@
             let mean = &mut self.latencies[sent.call.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
         }
+        let overtaken = self.is_overtaken(sent);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
+        // Behind a through cache, or at the origin, one call may just take longer than others.
+        let alike = !origin && self.settings.mode != Mode::Through;
+        if alike && !slow && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking) {
+            c.overtook = c.overtook.max(sent.at);
+        }
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
-            Outcome::TimedOut | Outcome::Recalled if sent.fetch == 0.0 => Some(slow),
+            // A cache's queue shows in slow answers before it does in none: cut for silence, the limit of one
+            // that loses some answers would leave it next to no work.
+            Outcome::TimedOut | Outcome::Recalled if origin => Some(slow),
             Outcome::Fulfilled => Some(slow),
             // That a key is lacking is soon said, crowd or none.
             Outcome::Lacking if slow => Some(true),
@@ -817,8 +836,10 @@
             // The origin's trouble bars no cache: its hits are needed then more than ever.
             Outcome::Errored if fetch_failed => return,
             Outcome::TimedOut if sent.fetch > 0.0 => return,
-            // Nor does a shot whose client had little time left.
-            Outcome::TimedOut | Outcome::Recalled if latency < slo.scaled(SILENCE_SHARE) => return,
+            // Nor does a shot whose client had little time left, or whose answer alone was lost.
+            Outcome::TimedOut | Outcome::Recalled if overtaken || latency < slo.scaled(SILENCE_SHARE) => {
+                return;
+            }
             Outcome::Moot => return,
             Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => true,
             // A recalled shot met silence, or its client left.
@@ -945,6 +966,7 @@
             draw,
             part: 1.0,
             push: 0.0,
+            overtook: now,
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -370,6 +370,8 @@
 #[test_case(scenario!("tenants"); "tenants")]
 #[test_case(scenario!("list"); "list")]
 #[test_case(scenario!("crowd"); "crowd")]
+#[test_case(scenario!("lost-answers"); "lost answers")]
+#[test_case(scenario!("silence"); "silence")]
 fn scenario(text: &str) {
     play(text);
 }
