Bad clients: open calls' names refused, first messages due in 2.5 s, crowds go first

Changed: names of waiting calls are kept (409), product, name and time must be told once and alike (400); 2.5 s for a first message and from a later one's first byte; unwanted connections go first, idle ones after 2 s where there are many; input of a turn bounded; memory bounds clients too; Retry-After on refusals for want of room. Besides: a cache that takes over an address ends the one before, and the module keeps no gone origin.

A trace of what caches send spoilt found nothing to mend in the readers.

The scenarios rude, rude-crowd, crowd-memory, takeover and generations fail without it.

--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -48,6 +48,7 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<u64>,
+    memory_mb: Option<u64>,
 }
 
 pub struct Config {
@@ -57,6 +58,8 @@
     /// Drawn at the start where none is given.
     seed: Option<u64>,
     descriptors: u64,
+    /// In megabytes.
+    memory: Option<u64>,
     known: Option<Listings>,
     settings: Decoded,
 }
@@ -97,6 +100,7 @@
             discovery: address("discovery", "ROUTER_DISCOVERY", file.discovery)?,
             seed,
             descriptors,
+            memory: file.limits.memory_mb,
             known,
             settings,
         })
@@ -117,6 +121,7 @@
         Live {
             discovery: self.discovery,
             descriptors: self.descriptors as usize,
+            memory: self.memory.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1024 * 1024)),
             connect_limit: self.settings.connect_limit,
             keepalive: self.settings.keepalive,
         }
--- a/crates/node/src/protocol/message.rs
+++ b/crates/node/src/protocol/message.rs
@@ -27,6 +27,15 @@
         found.and_then(|(_, value)| std::str::from_utf8(value).ok())
     }
 
+    /// The one value under this name. Where there are two, or one that is no text, each reader would go by another.
+    pub fn only(&self, name: &str) -> Result<Option<&str>, Fault> {
+        match self.values(name).count() {
+            0 => Ok(None),
+            1 => self.text(name).map(Some).ok_or(Fault::Malformed),
+            _ => Err(Fault::Malformed),
+        }
+    }
+
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| &v[..])
     }
--- a/crates/node/src/protocol/writer.rs
+++ b/crates/node/src/protocol/writer.rs
@@ -64,6 +64,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -9,15 +9,29 @@
 
 use super::exchange::{Exchanges, FinalAnswer};
 use crate::protocol::{Assembler, Fault, Head, Message, Side, write_answer, write_plain};
-use crate::transport::{ConnId, Connection, End, Event, Listener, Owner, Transport};
+use crate::transport::{ConnId, Connection, End, Event, Listener, Owner, Ring, TimeOrder, Transport};
 
-/// A message that was begun must be whole by then, and an answer taken: far longer than any live peer needs.
+/// A first message must be whole so long after its client connected, a later one so long after its first byte:
+/// whoever sends what is none is owed an error or a close within 3 s, and no call waits for as long.
+const WHOLE: Span = Span::from_millis(2500);
+/// An answer must be taken by then: far longer than any live peer needs.
 const STALL: Span = Span::from_millis(10_000);
 /// An idle client is let go after this: one whose machine has vanished never says so.
 const IDLE: Span = Span::from_millis(120_000);
+/// An idle client may be let go after this. Beyond `MANY_SHARE` of the descriptors it is, lest those who asked once
+/// and stay take what clients with calls may open.
+const MAY_GO: Span = Span::from_millis(2000);
+const MANY_SHARE: f64 = 0.2;
+/// In a crowd whoever has brought nothing whole goes this long after coming, and whoever was told to end this long
+/// after that, before anybody who may ask again: whoever has something to ask begins with it.
+const UNWANTED: Span = Span::from_millis(250);
 /// The share of descriptors that clients may take: each call can then have a shot out, and some shots of calls
 /// that have ended may be out besides.
 const CLIENTS_SHARE: f64 = 0.4;
+/// The share of memory for them, and what one may hold: its input, and a longest body in its call, on the way to a
+/// cache, back from there and on the way to it.
+const MEMORY_SHARE: f64 = 0.75;
+const HELD_BY_ONE: usize = (16 + 4 * 64) * 1024;
 /// The share for those beyond, who are told at once to come again: left at the door their calls would be lost.
 const BEYOND_SHARE: f64 = 0.1;
 /// How long one that was turned away may go on sending before its connection is cut: cut at once, the answer
@@ -43,6 +57,8 @@
     told_to_go_on: bool,
     /// Whether it wants the connection kept.
     keeps: bool,
+    /// Whether no whole message has come yet.
+    is_new: bool,
 }
 
 impl Client {
@@ -51,12 +67,26 @@
     }
 }
 
+/// What a node may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Descriptors for connections.
+    pub connections: usize,
+    /// Bytes.
+    pub memory: usize,
+}
+
 pub struct Clients {
     owner: Owner,
     clients: BTreeMap<ConnId, Client>,
+    /// Those without a whole message yet, by when they came, and those that linger, by since when.
+    unwanted: TimeOrder,
     most: usize,
     beyond: usize,
+    many: usize,
     offer: Offer,
+    /// When those beyond are told to come back; zero where they can't be told.
+    come_back: Span,
     closing: bool,
 }
 
@@ -67,18 +97,27 @@
 }
 
 impl Clients {
-    pub fn new(owner: Owner, most_descriptors: usize, names: Names, client_timeouts: Vec<Span>) -> Clients {
+    pub fn new(
+        owner: Owner,
+        limits: Limits,
+        names: Names,
+        client_timeouts: Vec<Span>,
+        come_back: Span,
+    ) -> Clients {
         let offer = Offer { names, client_timeouts };
-        let mut clients =
-            Clients { owner, clients: BTreeMap::new(), most: 0, beyond: 0, offer, closing: false };
-        clients.set_descriptors(most_descriptors);
+        let (clients, unwanted) = (BTreeMap::new(), TimeOrder::default());
+        let (most, beyond, many, closing) = (0, 0, 0, false);
+        let mut clients = Clients { owner, clients, unwanted, most, beyond, many, offer, come_back, closing };
+        clients.set_limits(limits);
         clients
     }
 
-    /// Sets of how many descriptors in all clients have their shares.
-    pub fn set_descriptors(&mut self, most: usize) {
-        let share = |share: f64| ((most as f64 * share) as usize).max(1);
-        (self.most, self.beyond) = (share(CLIENTS_SHARE), share(BEYOND_SHARE));
+    /// Sets of how much in all clients have their shares.
+    pub fn set_limits(&mut self, limits: Limits) {
+        let share = |share: f64| ((limits.connections as f64 * share) as usize).max(1);
+        let by_memory = (limits.memory as f64 * MEMORY_SHARE) as usize / HELD_BY_ONE;
+        (self.most, self.beyond) = (share(CLIENTS_SHARE).min(by_memory.max(1)), share(BEYOND_SHARE));
+        self.many = share(MANY_SHARE);
     }
 
     /// Whether there are as many clients as are served.
@@ -91,14 +130,27 @@
         self.clients.len() >= self.most + self.beyond
     }
 
+    /// Who is to go first for one who comes: who says nothing whole or was turned away, else who is idle for longest.
+    pub fn first_to_go(&self, transport: &Transport, now: Time) -> Option<ConnId> {
+        let unwanted = self.unwanted.first().filter(|(since, _)| now - *since >= UNWANTED);
+        unwanted.map(|(_, id)| id).or_else(|| transport.idle_longest(now, Some(self.owner)))
+    }
+
+    /// Whoever is idle for so long that it may go, where there are many.
+    pub fn idle_too_long(&self, transport: &Transport, now: Time) -> Option<ConnId> {
+        let first = transport.idle_first(self.owner).filter(|_| self.clients.len() > self.many);
+        first.filter(|(since, _)| now - *since >= MAY_GO).map(|(_, id)| id)
+    }
+
     pub fn accept(&mut self, transport: &mut Transport, listener: &mut Listener, now: Time) -> bool {
         let Some(connection) = listener.accept(transport, self.owner) else { return false };
         let id = connection.id;
         let calls = Assembler::new(Side::Asking);
-        let client = Client { connection, calls, doing: Doing::Reading, told_to_go_on: false, keeps: true };
-        self.clients.insert(id, client);
+        let (doing, told_to_go_on, keeps, is_new) = (Doing::Reading, false, true, true);
+        self.clients.insert(id, Client { connection, calls, doing, told_to_go_on, keeps, is_new });
+        self.unwanted.set(id, now);
         transport.idle(id, now);
-        transport.timers.set(id, now + IDLE);
+        transport.timers.set(id, now + WHOLE);
         true
     }
 
@@ -121,10 +173,12 @@
         }
     }
 
-    /// Closes an idle connection, after a last look for a call on it: one that has come is not to be lost.
+    /// Closes a connection that is idle, has brought nothing whole or was told to end, after a last look for a call on it: one that
+    /// has come is not to be lost.
     pub fn evict(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
         self.event(transport, exchanges, now, Event { id, readable: true, over: false });
-        if self.clients.get(&id).is_some_and(Client::is_idle) {
+        let spent = |c: &Client| c.is_idle() || c.is_new || matches!(c.doing, Doing::Lingering);
+        if self.clients.get(&id).is_some_and(spent) {
             self.end(transport, exchanges, id, End::Done);
         }
     }
@@ -163,10 +217,7 @@
         match answer {
             FinalAnswer::Fulfilled(message) => write_answer(output, message, keep),
             FinalAnswer::Own(Answer::RateLimited { come_back }) => {
-                let seconds = format!("{:.3}", come_back.as_secs_f64());
-                let advice = [("Retry-After", seconds.as_bytes())];
-                let advised = if *come_back > Span::ZERO { &advice[..] } else { &[] };
-                write_plain(output, 429, advised, keep);
+                write_own(output, 429, *come_back, keep);
             }
             FinalAnswer::Own(Answer::Errored) => write_plain(output, 502, &[], keep),
             FinalAnswer::ClientLeft => return,
@@ -188,16 +239,15 @@
                 Doing::Answering { keep: false } => {
                     client.connection.end_output();
                     client.doing = Doing::Lingering;
+                    self.unwanted.set(id, now);
                     transport.timers.set(id, now + LINGER);
                 }
                 Doing::Lingering => {
                     client.connection.input.clear();
                     break;
                 }
-                Doing::Answering { keep: true } => {
-                    client.doing = Doing::Reading;
-                    client.connection.receive();
-                }
+                // What more has come is told of in the next turn: nobody who sends without end keeps this one.
+                Doing::Answering { keep: true } => client.doing = Doing::Reading,
                 Doing::Waiting(_) => break,
                 Doing::Reading => match client.calls.next(&mut client.connection.input) {
                     Ok(Some(message)) => self.take(transport, exchanges, now, id, message),
@@ -214,10 +264,13 @@
         if let Doing::Reading = client.doing {
             if client.is_idle() {
                 transport.idle(id, now);
-                transport.timers.set(id, now + IDLE);
+                if !client.is_new {
+                    transport.timers.set(id, now + IDLE);
+                }
             } else {
                 transport.busy(id);
-                transport.timers.set_first(id, now + STALL);
+                // The first byte sets it: more that drip in move nothing.
+                transport.timers.set_first(id, now + WHOLE);
             }
         }
         client.connection.rearm(transport);
@@ -245,10 +298,12 @@
         message: Message,
     ) {
         transport.busy(id);
-        // Those that are idle take nothing from the others, and go first once there is no room.
-        let crowded = self.clients.len() - transport.idle_count(self.owner) > self.most;
+        // Those without a call out take nothing from the others, and go first once there is no room.
+        let crowded = exchanges.waiting() >= self.most;
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.told_to_go_on = false;
+        client.is_new = false;
+        self.unwanted.clear(id);
         client.keeps = message.head.keeps;
         let keep = client.keeps && !self.closing;
         let output = &mut client.connection.output;
@@ -262,8 +317,11 @@
         } else {
             match self.offer.read_call(&message.head) {
                 Ok(_) if crowded => return self.turn_away(transport, now, id, 503),
-                Ok(call) => {
-                    client.doing = Doing::Waiting(exchanges.take(id, call, message));
+                Ok((call, name)) => {
+                    let Some(taken) = exchanges.take(id, call, name, message) else {
+                        return self.turn_away(transport, now, id, 409);
+                    };
+                    client.doing = Doing::Waiting(taken);
                     // The decisions answer in time; this guards against a call that none is given for.
                     transport.timers.set(id, now + call.budget + STALL);
                     return;
@@ -281,14 +339,19 @@
     fn turn_away(&mut self, transport: &mut Transport, now: Time, id: ConnId, status: u16) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         log::debug!("turned a client away: {status}");
-        write_plain(&mut client.connection.output, status, &[], false);
+        // Only for want of room is there a time to come back at: the rest would be no better then.
+        let advised = if status == 503 { self.come_back } else { Span::ZERO };
+        write_own(&mut client.connection.output, status, advised, false);
         client.doing = Doing::Answering { keep: false };
+        client.is_new = false;
+        self.unwanted.clear(id);
         transport.busy(id);
         transport.timers.set(id, now + STALL);
     }
 
     fn end(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, id: ConnId, end: End) {
         let Some(client) = self.clients.remove(&id) else { return };
+        self.unwanted.clear(id);
         if let Doing::Waiting(call) = client.doing {
             exchanges.leave(call);
         }
@@ -297,37 +360,50 @@
     }
 }
 
+/// Writes an answer of the node's own, with advice on when to come back where there is any.
+fn write_own(output: &mut Ring, status: u16, come_back: Span, keep: bool) {
+    let seconds = format!("{:.3}", come_back.as_secs_f64());
+    let advice = [("Retry-After", seconds.as_bytes())];
+    write_plain(output, status, if come_back > Span::ZERO { &advice } else { &[] }, keep);
+}
+
 impl Offer {
-    /// What a message asks for; else the status that tells what is wrong with it.
-    fn read_call(&self, head: &Head) -> Result<ApiCall, u16> {
+    /// What a message asks for, and what its client calls it; else the status that tells what is wrong with it.
+    fn read_call(&self, head: &Head) -> Result<(ApiCall, Box<str>), u16> {
         let bad = Fault::Malformed.status();
+        let only = |name| head.only(name).map_err(Fault::status);
         let write = match head.method.as_str() {
             "GET" => false,
             "PUT" => true,
             _ => return Err(405),
         };
-        let number = |name: &str| match head.text(name) {
-            Some(text) => text.trim().parse::<u64>().map(Some).map_err(|_| bad),
-            None => Ok(None),
-        };
-        let mut path = head.path();
-        let class = head.text("x-priority-class").or(path.next()).ok_or(404u16)?;
+        let number = |text: &str| text.trim().parse::<u64>().map_err(|_| bad);
+        // Caches go by the path: a product that only a header names would be turned away there.
+        let class = head.path().next().ok_or(404u16)?;
         let product = self.names.products.iter().position(|p| p == class).ok_or(404u16)?;
-        let id = head.text("x-request-id").filter(|id| !id.is_empty());
-        id.ok_or(bad)?;
-        let timeout = number("x-timeout-ms")?.map(|ms| Span(ms.saturating_mul(1000)));
+        if only("x-priority-class")?.is_some_and(|named| named != class) {
+            return Err(bad);
+        }
+        let name = only("x-request-id")?.filter(|id| !id.is_empty()).ok_or(bad)?;
+        // No time at all is none that an answer could keep to.
+        let timeout = only("x-timeout-ms")?.map(number).transpose()?;
+        if timeout == Some(0) {
+            return Err(bad);
+        }
+        let timeout = timeout.map(|ms| Span(ms.saturating_mul(1000)));
         // No client waits for longer than its product's timeout, whatever it says of one try.
         let longest = self.client_timeouts[product];
         let tenant = head.text("x-tenant-id").and_then(|t| self.names.tenants.iter().position(|n| n == t));
-        Ok(ApiCall {
+        let call = ApiCall {
             product: ProductId(product as u16),
             tenant: tenant.map(|n| TenantId(n as u32)),
             key: Key(stable_hash(head.path().next_back().unwrap_or_default().as_bytes())),
             budget: timeout.map_or(longest, |t| t.min(longest)),
             // Only a hint: one that can't be read is none.
-            work: number("x-cost").ok().flatten().map(Span),
+            work: head.text("x-cost").and_then(|text| number(text).ok()).map(Span),
             write,
-        })
+        };
+        Ok((call, name.into()))
     }
 }
 
--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -1,6 +1,7 @@
 //! Tells the decisions what happened, and carries out what they decide.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use granitelb::brain::Brain;
 use granitelb::calls::Listing;
@@ -18,6 +19,8 @@
 pub struct Driver {
     brain: Brain,
     names: Names,
+    /// The caches that may get shots, and where they are.
+    placed: BTreeMap<CacheId, (SocketAddr, Listing)>,
     /// How many caches and origins could get shots when the log last told.
     ready: usize,
 }
@@ -33,7 +36,7 @@
 
 impl Driver {
     pub fn new(brain: Brain, names: Names) -> Driver {
-        Driver { brain, names, ready: 0 }
+        Driver { brain, names, placed: BTreeMap::new(), ready: 0 }
     }
 
     /// The list as an earlier life of this node had it.
@@ -54,7 +57,7 @@
         match heard {
             Heard::Listed(list) => {
                 let listings = self.listings(sides, now, list);
-                let ready = sides.servers.placed().len();
+                let ready = self.placed.len();
                 if std::mem::replace(&mut self.ready, ready) != ready {
                     log::info!("the list at revision {}: {ready} caches may get shots", list.revision);
                 }
@@ -65,33 +68,44 @@
     }
 
     /// Tells the server side where the caches are, and puts them in the module's words.
-    fn listings(&self, sides: &mut Sides<'_>, now: Time, list: &Listings) -> Vec<Listing> {
-        let cache = |entry: &Entry| CacheId(stable_hash(entry.uid.as_bytes()));
+    fn listings(&mut self, sides: &mut Sides<'_>, now: Time, list: &Listings) -> Vec<Listing> {
         let Sides { transport, exchanges, servers, .. } = sides;
-        if list.complete {
-            let named: BTreeSet<_> = list.entries.iter().map(cache).collect();
-            for gone in servers.placed().into_iter().filter(|c| !named.contains(c)) {
-                servers.forget(transport, exchanges, now, gone);
+        let told: Vec<_> = list.entries.iter().map(|entry| (entry.endpoint, self.listing(entry))).collect();
+        let mut listings = Vec::with_capacity(told.len());
+        for (endpoint, listing) in &told {
+            // One that takes over an address ends whoever had it: its shots would go to a cache that is not meant.
+            let before = self.placed.iter().filter(|(id, p)| p.0 == *endpoint && **id != listing.cache);
+            for (id, gone) in before.map(|(id, p)| (*id, p.1)).collect::<Vec<_>>() {
+                if listing.ready {
+                    self.placed.remove(&id);
+                    listings.push(Listing { ready: false, ..gone });
+                }
             }
+            match listing.ready {
+                true => self.placed.insert(listing.cache, (*endpoint, *listing)),
+                false => self.placed.remove(&listing.cache),
+            };
+            listings.push(*listing);
         }
+        if list.complete {
+            self.placed.retain(|id, _| told.iter().any(|(_, l)| l.cache == *id));
+        }
+        servers.place_all(transport, exchanges, now, &self.placed);
+        listings
+    }
+
+    /// An entry in the module's words.
+    fn listing(&self, entry: &Entry) -> Listing {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
-        let listings = list.entries.iter().map(|entry| {
-            let ready = entry.state == State::Active;
-            match ready {
-                true => servers.place(transport, exchanges, now, cache(entry), entry.endpoint),
-                false => servers.forget(transport, exchanges, now, cache(entry)),
-            }
-            Listing {
-                cache: cache(entry),
-                kind: KindId(place(&self.names.kinds, &entry.kind) as u16),
-                size: entry.size,
-                zone: ZoneId(place(&self.names.zones, &entry.zone) as u16),
-                cell: CellId(entry.cell),
-                ready,
-                started: (entry.boot_ms != 0).then_some(Time(entry.boot_ms.saturating_mul(1000))),
-            }
-        });
-        listings.collect()
+        Listing {
+            cache: CacheId(stable_hash(entry.uid.as_bytes())),
+            kind: KindId(place(&self.names.kinds, &entry.kind) as u16),
+            size: entry.size,
+            zone: ZoneId(place(&self.names.zones, &entry.zone) as u16),
+            cell: CellId(entry.cell),
+            ready: entry.state == State::Active,
+            started: (entry.boot_ms != 0).then_some(Time(entry.boot_ms.saturating_mul(1000))),
+        }
     }
 
     /// Tells what has happened and carries out what is decided, until nothing is left of either.
--- a/crates/node/src/routing/exchange.rs
+++ b/crates/node/src/routing/exchange.rs
@@ -1,6 +1,6 @@
 //! Where the client side and the server side meet: an exchange is one API call, its shots and its answer.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use granitelb::calls::{Answer, ApiCall, ShotEnd};
 use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
@@ -26,6 +26,8 @@
     pub call: ApiCall,
     /// What goes on to the caches.
     pub message: Message,
+    /// What its client calls it.
+    name: Box<str>,
     shots: u8,
     out: usize,
     answer: Option<FinalAnswer>,
@@ -36,6 +38,8 @@
 #[derive(Default)]
 pub struct Exchanges {
     open: HashMap<ApiCallId, Exchange>,
+    /// The names of calls that wait for their answer.
+    waiting: HashSet<Box<str>>,
     last: u64,
     arrived: VecDeque<ApiCallId>,
     left: VecDeque<ApiCallId>,
@@ -46,14 +50,25 @@
 
 /// The client side's part.
 impl Exchanges {
-    /// Opens an exchange for a call that was taken.
-    pub fn take(&mut self, client: ConnId, call: ApiCall, message: Message) -> ApiCallId {
+    /// Opens an exchange for a call that was taken; not for one under the name of another that waits: caches could
+    /// not tell the two apart, and the one that came first would pay for it.
+    pub fn take(
+        &mut self,
+        client: ConnId,
+        call: ApiCall,
+        name: Box<str>,
+        message: Message,
+    ) -> Option<ApiCallId> {
+        if !self.waiting.insert(name.clone()) {
+            return None;
+        }
         self.last += 1;
         let id = ApiCallId(self.last);
-        let exchange = Exchange { client, call, message, shots: 0, out: 0, answer: None, answered: false };
+        let (shots, out, answer, answered) = (0, 0, None, false);
+        let exchange = Exchange { client, call, message, name, shots, out, answer, answered };
         self.open.insert(id, exchange);
         self.arrived.push_back(id);
-        id
+        Some(id)
     }
 
     /// The client is gone: no answer is owed any more.
@@ -143,21 +158,22 @@
         let Some(exchange) = self.open.get_mut(&id).filter(|e| !e.answered) else { return false };
         self.tally.count_answer(&answer);
         exchange.answered = true;
+        self.waiting.remove(&exchange.name);
         exchange.answer = Some(answer);
         self.answered.push_back(id);
         true
     }
 
+    /// How many calls wait for an answer.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// What was counted since this was last asked.
     pub fn take_tally(&mut self) -> Tally {
         std::mem::take(&mut self.tally)
     }
 
-    /// Calls that wait for an answer.
-    pub fn unanswered(&self) -> usize {
-        self.open.values().filter(|e| !e.answered).count()
-    }
-
     fn clear(&mut self, id: ApiCallId) {
         if self.open.get(&id).is_some_and(|e| e.answered && e.answer.is_none() && e.out == 0) {
             self.open.remove(&id);
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -8,7 +8,7 @@
 use granitelb_settings::Decoded;
 use rustix::fd::AsFd;
 
-use super::clients::Clients;
+use super::clients::{Clients, Limits};
 use super::driver::{Driver, Sides};
 use super::exchange::Exchanges;
 use super::servers::Servers;
@@ -55,6 +55,8 @@
 pub struct Live {
     pub discovery: SocketAddr,
     pub descriptors: usize,
+    /// In bytes.
+    pub memory: usize,
     pub connect_limit: Span,
     pub keepalive: Span,
 }
@@ -91,9 +93,11 @@
     full_until: Option<Time>,
 }
 
-/// How many of so many descriptors are for connections.
-fn for_connections(descriptors: usize) -> usize {
-    descriptors.saturating_sub(OWN_DESCRIPTORS).max(8)
+impl Live {
+    /// What connections may use.
+    fn limits(&self) -> Limits {
+        Limits { connections: self.descriptors.saturating_sub(OWN_DESCRIPTORS).max(8), memory: self.memory }
+    }
 }
 
 /// How many of these are kept free.
@@ -104,17 +108,18 @@
 impl Node {
     pub fn open(setup: Setup) -> io::Result<Node> {
         let live = setup.live;
-        let descriptors = for_connections(live.descriptors);
-        let mut transport = Transport::new(descriptors)?;
+        let limits = live.limits();
+        let mut transport = Transport::new(limits.connections)?;
         let listener = Listener::open(&mut transport, setup.listen, LISTENER)?;
         let now = transport.now();
         let Decoded { decisions, names, client_timeouts, .. } = setup.settings;
         let longest_call = client_timeouts.iter().copied().max().unwrap_or_default();
         let unasked = !decisions.list_on_request;
+        let come_back = decisions.max_come_back;
         let brain = Brain::new(decisions, setup.seed, now);
         let revision = setup.known.as_ref().map(|k| k.revision);
         let mut node = Node {
-            clients: Clients::new(CLIENTS, descriptors, names.clone(), client_timeouts),
+            clients: Clients::new(CLIENTS, limits, names.clone(), client_timeouts, come_back),
             servers: Servers::new(SERVERS, live.connect_limit, live.keepalive),
             watch: Watch::new(DISCOVERY, live.discovery, live.connect_limit, revision),
             driver: Driver::new(brain, names),
@@ -124,7 +129,7 @@
             stopping: None,
             idle_closed: false,
             longest_call,
-            kept_free: kept_free(descriptors),
+            kept_free: kept_free(limits.connections),
             tally_at: now + TALLY,
             full_until: None,
         };
@@ -174,10 +179,10 @@
                 self.clients.begin_closing();
             }
             Order::Reload(live) => {
-                let descriptors = for_connections(live.descriptors);
-                self.transport.set_most(descriptors);
-                self.clients.set_descriptors(descriptors);
-                self.kept_free = kept_free(descriptors);
+                let limits = live.limits();
+                self.transport.set_most(limits.connections);
+                self.clients.set_limits(limits);
+                self.kept_free = kept_free(limits.connections);
                 self.servers.set_times(live.connect_limit, live.keepalive);
                 if let Some(heard) =
                     self.watch.move_to(&mut self.transport, now, live.discovery, live.connect_limit)
@@ -249,7 +254,7 @@
         };
         for _ in 0..ACCEPTED_A_TURN {
             if self.clients.is_crowded()
-                && let Some(id) = self.transport.idle_longest(now, Some(CLIENTS))
+                && let Some(id) = self.clients.first_to_go(&self.transport, now)
             {
                 self.clients.evict(&mut self.transport, &mut self.exchanges, now, id);
             }
@@ -279,8 +284,11 @@
         }
     }
 
-    /// Closes what is idle for longest while descriptors are short.
+    /// Closes what is idle for longest while descriptors are short, and clients that are idle for long and many.
     fn keep_room(&mut self, now: Time) {
+        while let Some(id) = self.clients.idle_too_long(&self.transport, now) {
+            self.clients.evict(&mut self.transport, &mut self.exchanges, now, id);
+        }
         let ran_out = self.transport.take_ran_out();
         if ran_out {
             log::warn!("descriptors ran out");
@@ -318,7 +326,7 @@
         let Some(at) = self.stopping else { return false };
         let late = now - at >= self.longest_call + STAYS;
         if late {
-            log::warn!("stopping with {} calls unanswered", self.exchanges.unanswered());
+            log::warn!("stopping with {} calls unanswered", self.exchanges.waiting());
         }
         late || self.idle_closed && self.clients.are_done()
     }
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use granitelb::calls::Shot;
+use granitelb::calls::{Listing, Shot};
 use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
 use granitelb::units::{Span, Time};
 
@@ -65,30 +65,25 @@
         (self.connect_limit, self.keepalive) = (connect_limit, keepalive.scaled(IDLE_SHARE));
     }
 
-    /// Takes up where a cache is that is to get shots.
-    pub fn place(
+    /// Takes up where the caches are that are to get shots; any other is forgotten.
+    pub fn place_all(
         &mut self,
         transport: &mut Transport,
         exchanges: &mut Exchanges,
         now: Time,
-        cache: CacheId,
-        endpoint: SocketAddr,
+        placed: &BTreeMap<CacheId, (SocketAddr, Listing)>,
     ) {
-        if self.places.get(&cache).is_some_and(|p| p.endpoint != endpoint) {
-            self.forget(transport, exchanges, now, cache);
+        let stays = |cache: &CacheId, place: &Place| placed.get(cache).is_some_and(|p| p.0 == place.endpoint);
+        let gone: Vec<_> = self.places.iter().filter(|(c, p)| !stays(c, p)).map(|(c, _)| *c).collect();
+        gone.into_iter().for_each(|cache| self.forget(transport, exchanges, now, cache));
+        for (cache, (endpoint, _)) in placed {
+            self.places.entry(*cache).or_insert(Place { endpoint: *endpoint, idle: Vec::new() });
         }
-        self.places.entry(cache).or_insert(Place { endpoint, idle: Vec::new() });
     }
 
     /// Nothing new goes to this cache: what was not begun is not sent, what is idle is closed, and connections
     /// with a shot out end with its answer.
-    pub fn forget(
-        &mut self,
-        transport: &mut Transport,
-        exchanges: &mut Exchanges,
-        now: Time,
-        cache: CacheId,
-    ) {
+    fn forget(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, cache: CacheId) {
         let Some(place) = self.places.remove(&cache) else { return };
         let unsent = self.links.iter().filter(|(_, l)| l.cache == cache && !l.connection.is_up());
         let unsent: Vec<_> = unsent.map(|(id, _)| *id).collect();
@@ -97,11 +92,6 @@
         }
     }
 
-    /// The caches that may get shots.
-    pub fn placed(&self) -> Vec<CacheId> {
-        self.places.keys().copied().collect()
-    }
-
     /// Sends a shot on an idle connection, or on a new one.
     pub fn send(
         &mut self,
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -13,3 +13,4 @@
 pub use end::End;
 pub use poller::{ConnId, Event, Owner, Transport};
 pub use ring::Ring;
+pub use time_order::TimeOrder;
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -165,9 +165,9 @@
         }
     }
 
-    /// How many of an owner's connections are idle.
-    pub fn idle_count(&self, owner: Owner) -> usize {
-        self.idle.get(&owner.0).map_or(0, TimeOrder::len)
+    /// The connection of an owner's that has been idle for longest, and since when.
+    pub fn idle_first(&self, owner: Owner) -> Option<(Time, ConnId)> {
+        self.idle.get(&owner.0)?.first()
     }
 
     /// The connection that has been idle for longest, of one owner's or of all; none that became so only now,
--- a/crates/node/src/transport/time_order.rs
+++ b/crates/node/src/transport/time_order.rs
@@ -37,10 +37,6 @@
         self.order.first().copied()
     }
 
-    pub fn len(&self) -> usize {
-        self.order.len()
-    }
-
     /// A connection whose point in time has come; it is then no longer set.
     pub fn due(&mut self, now: Time) -> Option<ConnId> {
         let (_, id) = self.first().filter(|t| t.0 <= now)?;
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -5,7 +5,7 @@
 //! `known NAME ...`. Then, in order, each line waiting for what it names:
 //!
 //! `watched [after=N]` the node asks for the list; `list NAME ...`, `change NAME ...` tell it, a name may carry
-//! `:STATE` and `@BOOT_MS` (`@now-MS`); `beat`, `garble` send an empty line and one that is no list; `unlisted` refuses,
+//! `:STATE` and `@BOOT_MS` (`@now-MS`), and before them `=OTHER`, at whose address it is; `beat`, `garble` send an empty line and one that is no list; `unlisted` refuses,
 //! `unwatched` ends the watch. `reload [K=JSON ...]` changes the configuration's file and has it read again; with
 //! `move-discovery` it names another address from the next time on, and `former-change NAME ...`, `former-ended` are as
 //! before on the watch at the last one. `call CLIENT PRODUCT KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`
@@ -13,8 +13,8 @@
 //! whichever cache it is first seen at, `any` for any; `reply ID STATUS [body=TEXT] [HEADER: VALUE]`, `part ID TEXT`, `reset ID`
 //! act on its connection, `cut ID` sees it ended. `answer CLIENT STATUS [body=TEXT]`, `ended CLIENT`, `kept CLIENT`
 //! (still open). `opened CACHE N` counts the connections made so far. `quiet MS` nothing happens; `wait MS`.
-//! `die CACHE`, `deaf CACHE` (what knocks hears nothing; also `discovery`), `hear CACHE`; `idle N`, `crowd N` clients come, with a call
-//! each in the latter; `starve N` the system gives the node no more than N descriptors; `stop`, `exits`. `faulty KEY JSON says KEY` checks a configuration, `fate END half|whole OUTCOME` what
+//! `die CACHE`, `deaf CACHE` (what knocks hears nothing; also `discovery`), `hear CACHE`; `idle N`, `halves N`, `asked N`, `crowd N` clients come,
+//! with nothing, half a message, a question that is no call, a call each; `starve N` the system gives the node no more than N descriptors; `stop`, `exits`. `faulty KEY JSON says KEY` checks a configuration, `fate END half|whole OUTCOME` what
 //! the module hears of a shot whose connection ended like that, written to its end or not.
 //!
 //! `read SIDE TEXT` and the pieces that follow as `> ...` try a reader: whole, byte by byte, and cut everywhere.
@@ -268,8 +268,9 @@
         }
         let (word, boot) = word.split_once('@').unwrap_or((word, "0"));
         let (name, state) = word.split_once(':').unwrap_or((word, "active"));
+        let (name, at) = name.split_once('=').unwrap_or((name, name));
         let address = self.address.clone();
-        let cache = self.caches.entry(name.to_string()).or_insert_with(|| {
+        let cache = self.caches.entry(at.to_string()).or_insert_with(|| {
             let listener = free(&address);
             Cache { endpoint: listener.local_addr().ok(), listener: Some(listener), ..Cache::default() }
         });
@@ -507,10 +508,15 @@
                     self.clients.iter().filter(|(_, c)| !c.input.is_empty() || c.ended).collect();
                 assert!(said.is_empty() && before == self.clients.len(), "{line}: {} spoke", said[0].0);
             }
-            ["idle", count] => {
+            [what @ ("idle" | "halves" | "asked"), count] => {
                 for n in 0..count.parse().expect("a count") {
-                    let conn = Conn::new(TcpStream::connect(self.node).expect("the node listens"));
-                    self.clients.insert(format!("idle{n}"), conn);
+                    let mut conn = Conn::new(TcpStream::connect(self.node).expect("the node listens"));
+                    conn.write(match what {
+                        "halves" => b"GET /read/k HTTP/1.1\r\nHost: n\r\nX-Re",
+                        "asked" => b"GET /health/live HTTP/1.1\r\nHost: n\r\n\r\n",
+                        _ => b"",
+                    });
+                    self.clients.insert(format!("{what}{n}"), conn);
                 }
             }
             ["crowd", count] => {
@@ -631,6 +637,7 @@
 #[test_case(include_str!("scenarios/cold.txt"); "cold")]
 #[test_case(include_str!("scenarios/configuration.txt"); "configuration")]
 #[test_case(include_str!("scenarios/crowd.txt"); "crowd")]
+#[test_case(include_str!("scenarios/crowd-memory.txt"); "crowd_memory")]
 #[test_case(include_str!("scenarios/deaf-discovery.txt"); "deaf_discovery")]
 #[test_case(include_str!("scenarios/descriptors.txt"); "descriptors")]
 #[test_case(include_str!("scenarios/drained-early.txt"); "drained_early")]
@@ -644,7 +651,10 @@
 #[test_case(include_str!("scenarios/parsers.txt"); "parsers")]
 #[test_case(include_str!("scenarios/refused.txt"); "refused")]
 #[test_case(include_str!("scenarios/reload.txt"); "reload")]
+#[test_case(include_str!("scenarios/rude-crowd.txt"); "rude_crowd")]
+#[test_case(include_str!("scenarios/rude.txt"); "rude")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
+#[test_case(include_str!("scenarios/takeover.txt"); "takeover")]
 #[test_case(include_str!("scenarios/same-table.txt"); "same_table")]
 #[test_case(include_str!("scenarios/starved.txt"); "starved")]
 #[test_case(include_str!("scenarios/stop-idle.txt"); "stop_idle")]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -362,6 +362,12 @@
         true
     }
 
+    /// How many entries are kept of calls, keys and caches; however long it lives, this has a bound.
+    pub fn entries(&self) -> usize {
+        let sent = self.alarms.len() + self.out.len() + self.fetching.len() + self.recalls.len();
+        sent + self.open.len() + self.ready.len() + self.answers.len() + self.keys.len() + self.caches.len()
+    }
+
     /// When to pull again if nothing happens before.
     pub fn next_wake(&self, now: Time) -> Option<Time> {
         let alarm = self.alarms.first().map(|a| a.0);
@@ -376,13 +382,12 @@
     fn place(&mut self, now: Time, id: ApiCallId) -> Option<Shot> {
         let open = self.open.get(&id)?;
         let asks_origin = self.settings.mode != Mode::Through && (open.call.write || open.lacking);
-        let typical = self.latency(now, open.call.product, asks_origin);
-        let hopeless = now + Span::from_secs_f64(typical) > open.slo_end;
+        let typical = Span::from_secs_f64(self.latency(now, open.call.product, asks_origin));
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
         let possible =
             |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
         let barred = open.may_have_run.is_some() && !self.caches.values().any(possible);
-        if hopeless || barred || open.shots.len() >= self.settings.max_shots as usize {
+        if now + typical > open.slo_end || barred || open.shots.len() >= self.settings.max_shots as usize {
             self.give_up(id);
             return None;
         }
@@ -545,12 +550,12 @@
     /// Ends a call at once: rate-limited where that promise holds, else errored.
     fn give_up(&mut self, id: ApiCallId) {
         let Some(open) = self.open.get(&id) else { return };
-        let slo = self.product(open.call.product).slo;
         let harmless = match self.effect(open) {
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
             _ => open.first_risky().is_none(),
         };
-        let come_back = slo.scaled(COME_BACK).min(self.settings.max_come_back);
+        let come_back =
+            self.product(open.call.product).slo.scaled(COME_BACK).min(self.settings.max_come_back);
         let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
         self.answer(id, answer);
     }
@@ -566,8 +571,8 @@
         self.answers.push_back((id, answer));
     }
 
-    /// Calls off a slow shot that a later one to its cache has overtaken, and not by chance of their ways: in a
-    /// queue none passes the other, so its answer is lost. Waited for, it would cost the call its SLO.
+    /// Calls off a slow shot that a later one to its cache has overtaken, and not by chance of their ways: in
+    /// a queue none passes the other, so its answer is lost. Waited for, it would cost the call its SLO.
     fn call_off_lost(&mut self, now: Time, id: ApiCallId) {
         let open = &self.open[&id];
         let may = self.settings.may_recall && self.effect(open) == Effect::Idempotent;
@@ -600,9 +605,7 @@
     }
 
     fn set_waiting(&mut self, id: ApiCallId) {
-        if let Some(open) = self.open.get(&id) {
-            self.ready.insert(open.rank, id);
-        }
+        self.ready.extend(self.open.get(&id).map(|open| (open.rank, id)));
     }
 }
 
@@ -615,8 +618,7 @@
             self.caches.values_mut().for_each(|c| c.listing.ready &= named.contains(&c.listing.cache));
         }
         for listing in listings {
-            let nominal = self.nominal.entry(listing.kind).or_insert(listing.size);
-            *nominal = nominal.max(listing.size);
+            self.nominal.entry(listing.kind).and_modify(|n| *n = n.max(listing.size)).or_insert(listing.size);
             let draw = self.chance();
             match self.caches.get_mut(&listing.cache) {
                 // A restart under the same id begins cold and with a clean slate.
@@ -630,7 +632,7 @@
                 }
             }
         }
-        self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0.0 || c.is_origin);
+        self.caches.retain(|_, c| c.listing.ready || c.limit.in_flight > 0.0);
         self.renew_table();
     }
 
@@ -813,8 +815,7 @@
         }
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
-            // A cache's queue shows in slow answers before it does in none: cut for silence, the limit of one
-            // that loses some answers would leave it next to no work.
+            // Queues show in slow answers first; cut for silence, a cache that loses some would get no work.
             Outcome::TimedOut | Outcome::Recalled if origin => Some(slow),
             Outcome::Fulfilled => Some(slow),
             // That a key is lacking is soon said, crowd or none.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -179,7 +179,7 @@
             let options: Vec<&str> = parts.collect();
             Listing {
                 cache: stage.cache(name),
-                kind: KindId(u16::from(name == "origin")),
+                kind: KindId(u16::from(name.starts_with("origin"))),
                 size: number(&options, "size", 1.0),
                 zone: ZoneId(number(&options, "zone", 0.0) as u16),
                 cell: CellId(0),
@@ -247,6 +247,46 @@
         self.decided.clear();
     }
 
+    /// Ends all shots of the calls of late that are out in this way, and those that follow from that. That one is
+    /// told of twice changes nothing.
+    fn end_all(&mut self, how: &str) {
+        let mut told = 0;
+        loop {
+            let recent = self.shots.range(self.calls.len().saturating_sub(60)..);
+            let shots: Vec<_> = recent.flat_map(|(c, s)| (0..s.len()).map(|n| (*c, n))).collect();
+            if shots.len() == told {
+                return;
+            }
+            told = shots.len();
+            for (call, shot) in shots {
+                let name = self.calls[call].clone();
+                self.end(&name, &[how, "after=2", &format!("shot={shot}")]);
+                self.pull();
+            }
+        }
+    }
+
+    /// Time and again all caches and the origin are replaced, and calls come whose shots end in each way there is.
+    fn generations(&mut self, words: &[&str]) {
+        let ends = ["fulfilled", "lacking", "timed-out", "errored", "reset", "full", "unreachable", "moot"];
+        let (count, keys) = (number(words, "count", 0.0) as usize, number(words, "keys", 1.0) as usize);
+        for n in 0..count * 32 {
+            if n % 32 == 0 {
+                let generation = self.caches.len();
+                let names = ["a", "b", "c", "origin"].map(|name| format!("{name}{generation}"));
+                self.list(&names.each_ref().map(|name| name.as_str()), true, false);
+            }
+            let name = format!("call{}", self.calls.len());
+            self.ask(&name, &["read", &(n % keys).to_string()]);
+            self.advance(self.now + 2000);
+            self.pull();
+            self.end_all(ends[n % ends.len()]);
+        }
+        self.advance(self.now + 5_000_000);
+        self.end_all("timed-out");
+        self.decided.clear();
+    }
+
     fn happen(&mut self, at: u64, words: &[&str]) {
         let (&what, rest) = words.split_first().unwrap_or((&"wait", &[]));
         self.advance(START + at * 1000);
@@ -259,6 +299,7 @@
             "list-failed" => self.brain().list_failed(now),
             "call" => self.ask(rest[0], &rest[1..]),
             "end" => self.end(rest[0], &rest[1..]),
+            "generations" => self.generations(rest),
             "load" => {
                 self.counts.clear();
                 self.load(rest);
@@ -277,6 +318,11 @@
         if words[0] == "..." {
             return self.decided.clear();
         }
+        if let ["entries", "<", most] = words {
+            let (entries, most) = (self.brain().entries(), most.parse().expect("a count"));
+            assert!(entries < most, "{entries} entries, not under {most}");
+            return;
+        }
         if let ["count", cache, relation, most] = words {
             let cache = self.cache(cache);
             let (count, most) =
@@ -361,6 +407,7 @@
 #[test_case(scenario!("hang"); "hang")]
 #[test_case(scenario!("learning"); "learning")]
 #[test_case(scenario!("listed-load"); "listed load")]
+#[test_case(scenario!("generations"); "generations")]
 #[test_case(scenario!("heavy"); "heavy")]
 #[test_case(scenario!("hopeless"); "hopeless")]
 #[test_case(scenario!("fetches"); "fetches")]
