--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,7 +102,8 @@
     /// The part of its keys that it may take, by its listed load.
     part: f64,
     push: f64,
-    /// When the last of the shots was sent that were answered soon.
+    /// The quickest answer of late, and when the last of the shots was sent that were answered soon.
+    quickest: Span,
     overtook: Time,
 }
 
@@ -556,8 +557,7 @@
         };
         let come_back =
             self.product(open.call.product).slo.scaled(COME_BACK).min(self.settings.max_come_back);
-        let answer = if harmless { Answer::RateLimited { come_back } } else { Answer::Errored };
-        self.answer(id, answer);
+        self.answer(id, if harmless { Answer::RateLimited { come_back } } else { Answer::Errored });
     }
 
     /// The gate that every final answer of ours passes: one for each open call, and nothing after it.
@@ -576,7 +576,10 @@
     fn call_off_lost(&mut self, now: Time, id: ApiCallId) {
         let open = &self.open[&id];
         let may = self.settings.may_recall && self.effect(open) == Effect::Idempotent;
-        let Some(n) = open.first_out().filter(|_| may) else { return };
+        // Calls differ in work most at the origin: there one may pass another.
+        let Some(n) = open.first_out().filter(|n| may && !self.is_origin(open.shots[*n].cache)) else {
+            return;
+        };
         if self.is_overtaken(&open.shots[n]) {
             self.recalls.push_back((id, ShotNumber(n as u8)));
         } else {
@@ -599,8 +602,7 @@
     fn release_joined(&mut self, id: ApiCallId) {
         let Some(key) = self.open.get(&id).map(|o| o.call.key) else { return };
         if self.fetching.get(&key).is_some_and(|f| f.0 == id) {
-            let (_, waiting) = self.fetching.remove(&key).expect("just seen");
-            waiting.into_iter().for_each(|w| self.set_waiting(w));
+            self.fetching.remove(&key).into_iter().flat_map(|f| f.1).for_each(|w| self.set_waiting(w));
         }
     }
 
@@ -701,21 +703,16 @@
         let slot = self.slot_of(call.key, (asked - SURE * asked.sqrt()) / total);
         self.table[slot as usize] = self.table[slot as usize].or_else(|| Some(self.rank(slot)));
         let fresh = self.start_weights(call.key, slot);
-        let version = self.table_version;
-        let weights = self.keys.entry(call.key).or_insert_with(|| KeyWeights {
-            table: version,
-            slot,
-            slots: fresh,
-            asked: FadingSum::new(RATE_MEMORY, now),
-            held_by: None,
-        });
-        if (weights.table, weights.slot) != (version, slot) {
+        let asked = FadingSum::new(RATE_MEMORY, now);
+        let new = KeyWeights { table: self.table_version, slot, slots: fresh, asked, held_by: None };
+        let weights = self.keys.entry(call.key).or_insert(new);
+        if (weights.table, weights.slot) != (self.table_version, slot) {
             let old = weights.slots;
             // Where another cache is first all nodes start anew: keys clinging to others would leave it idle.
             let same_first = fresh[0].map(|f| f.0) == old[0].map(|f| f.0);
             let kept = |c: CacheId| old.iter().flatten().find(|o| same_first && o.0 == c).map(|o| o.1);
             weights.slots = fresh.map(|slot| slot.map(|(c, w)| (c, kept(c).unwrap_or(w))));
-            (weights.table, weights.slot) = (version, slot);
+            (weights.table, weights.slot) = (self.table_version, slot);
         }
         weights.asked.add(now, 1.0);
         let width = WIDTH_SHARE * (-weights.asked.read(now) / total).exp() + WIDTH_BASE;
@@ -742,8 +739,7 @@
     fn start_weights(&self, key: Key, slot: u64) -> [Option<(CacheId, f64)>; CANDIDATES] {
         let ranked = self.table[slot as usize].unwrap_or_else(|| self.rank(slot));
         std::array::from_fn(|place| {
-            let spread = START_SPREAD * unit(hash_of((key, place)));
-            ranked[place].map(|cache| (cache, START[place] + spread))
+            ranked[place].map(|cache| (cache, START[place] + START_SPREAD * unit(hash_of((key, place)))))
         })
     }
 
@@ -780,7 +776,10 @@
         let slo = self.product(sent.call.product).slo;
         let service = Span::from_secs_f64(self.latency(now, sent.call.product, origin) * (0.5 + chance));
         // A cache's queue serves all products: it must be short enough for the one with the least time.
-        let slow = latency > if origin { slo } else { self.settings.tightest_slo() }.scaled(SLOW_SHARE);
+        let quickest = self.caches.get(&sent.cache).filter(|_| origin).map_or(Span::ZERO, |c| c.quickest);
+        // Where the quickest answers take much of the SLO, only six times as long tells of a queue.
+        let least = if origin { slo } else { self.settings.tightest_slo() }.scaled(SLOW_SHARE);
+        let slow = latency > least.max(quickest.scaled(6.0).min(slo.scaled(0.7)));
         if sent.fetch > 0.0 {
             let crowded = match outcome {
                 Outcome::Fetched | Outcome::TimedOut => Some(slow),
@@ -808,15 +807,16 @@
         let overtaken = self.is_overtaken(sent);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
-        // Behind a through cache, or at the origin, one call may just take longer than others.
-        let alike = !origin && self.settings.mode != Mode::Through;
-        if alike && !slow && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking) {
-            c.overtook = c.overtook.max(sent.at);
-        }
+        let answered = if outcome == Outcome::Fulfilled { latency } else { c.quickest };
+        c.quickest = c.quickest.scaled(1.001).min(answered);
+        // Behind a through cache a fetch may keep one call longer than others.
+        let soon = !slow && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking);
+        let overtakes = soon && self.settings.mode != Mode::Through;
+        c.overtook = if overtakes { c.overtook.max(sent.at) } else { c.overtook };
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
             // Queues show in slow answers first; cut for silence, a cache that loses some would get no work.
-            Outcome::TimedOut | Outcome::Recalled if origin => Some(slow),
+            Outcome::TimedOut | Outcome::Recalled if origin && !overtaken => Some(slow),
             Outcome::Fulfilled => Some(slow),
             // That a key is lacking is soon said, crowd or none.
             Outcome::Lacking if slow => Some(true),
@@ -843,7 +843,6 @@
             }
             Outcome::Moot => return,
             Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => true,
-            // A recalled shot met silence, or its client left.
             _ => false,
         };
         c.outcomes = (c.outcomes << 1 | u32::from(healthy)) & ALL_GOOD;
@@ -967,6 +966,7 @@
             draw,
             part: 1.0,
             push: 0.0,
+            quickest: Span(1 << 40),
             overtook: now,
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -419,6 +419,7 @@
 #[test_case(scenario!("crowd"); "crowd")]
 #[test_case(scenario!("lost-answers"); "lost answers")]
 #[test_case(scenario!("silence"); "silence")]
+#[test_case(scenario!("short-slo"); "short slo")]
 fn scenario(text: &str) {
     play(text);
 }
