--- a/src/brain.rs
+++ b/src/brain.rs
@@ -317,10 +317,10 @@
             open.may_have_run = Some(number.0 as usize);
         }
         open.lacking |= outcome == Outcome::Lacking && !origin;
+        // A first reset may be its connection's alone: the cache that holds the key is asked once more.
+        let again = outcome == Outcome::Reset && open.shots.iter().filter(|s| s.cache == cache).count() == 1;
         let stays = matches!(outcome, Outcome::Full | Outcome::Moot) || outcome == Outcome::Recalled && lost;
-        if !origin && !stays {
-            open.passed.push(cache);
-        }
+        open.passed.extend((!origin && !stays && !again).then_some(cache));
         self.release_joined(id);
         if answered {
             self.close(id);
