Read through: the watch's two connections told apart in one place, takeover without a copy

Watch asked twice in full whether a connection is the former one, and closed an older former one by hand beside close(); is_former, stands and close serve all of them. Driver::listings looked up who stands at an address for entries that can't take it over, and copied the finds; extract_if takes them out in one step. Two lines of clients.rs are kept in shape.

--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -173,8 +173,8 @@
         }
     }
 
-    /// Closes a connection that is idle, has brought nothing whole or was told to end, after a last look for a call on it: one that
-    /// has come is not to be lost.
+    /// Closes a connection that is idle, has brought nothing whole or was told to end, after a last look for a call
+    /// on it: one that has come is not to be lost.
     pub fn evict(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
         self.event(transport, exchanges, now, Event { id, readable: true, over: false });
         let spent = |c: &Client| c.is_idle() || c.is_new || matches!(c.doing, Doing::Lingering);
@@ -216,9 +216,7 @@
         let output = &mut client.connection.output;
         match answer {
             FinalAnswer::Fulfilled(message) => write_answer(output, message, keep),
-            FinalAnswer::Own(Answer::RateLimited { come_back }) => {
-                write_own(output, 429, *come_back, keep);
-            }
+            FinalAnswer::Own(Answer::RateLimited { come_back }) => write_own(output, 429, *come_back, keep),
             FinalAnswer::Own(Answer::Errored) => write_plain(output, 502, &[], keep),
             FinalAnswer::ClientLeft => return,
         }
--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -74,12 +74,10 @@
         let mut listings = Vec::with_capacity(told.len());
         for (endpoint, listing) in &told {
             // One that takes over an address ends whoever had it: its shots would go to a cache that is not meant.
-            let before = self.placed.iter().filter(|(id, p)| p.0 == *endpoint && **id != listing.cache);
-            for (id, gone) in before.map(|(id, p)| (*id, p.1)).collect::<Vec<_>>() {
-                if listing.ready {
-                    self.placed.remove(&id);
-                    listings.push(Listing { ready: false, ..gone });
-                }
+            let takes_over =
+                |id: &CacheId, at: SocketAddr| listing.ready && at == *endpoint && *id != listing.cache;
+            for (_, (_, gone)) in self.placed.extract_if(.., |id, (at, _)| takes_over(id, *at)) {
+                listings.push(Listing { ready: false, ..gone });
             }
             match listing.ready {
                 true => self.placed.insert(listing.cache, (*endpoint, *listing)),
--- a/crates/node/src/routing/watch.rs
+++ b/crates/node/src/routing/watch.rs
@@ -20,12 +20,6 @@
     Lost,
 }
 
-impl Heard {
-    fn list(&self) -> Option<&Listings> {
-        if let Heard::Listed(list) = self { Some(list) } else { None }
-    }
-}
-
 struct Open {
     connection: Connection,
     reader: Reader,
@@ -69,17 +63,24 @@
         (self.discovery, self.host) = (discovery, discovery.to_string());
         // Whoever is there may count revisions of its own: the whole list is asked for. It changes only what differs.
         self.revision = None;
-        if let Some(open) = self.open.take_if(|o| o.stands)
-            && let Some(older) = self.former.replace(open)
-        {
-            older.connection.close(transport);
+        if self.stands() {
+            close(transport, &mut self.former, End::Done);
+            self.former = self.open.take();
         }
         self.ask(transport, now)
     }
 
+    fn stands(&self) -> bool {
+        self.open.as_ref().is_some_and(|o| o.stands)
+    }
+
+    fn is_former(&self, id: ConnId) -> bool {
+        self.former.as_ref().is_some_and(|o| o.connection.id == id)
+    }
+
     /// Asks for a watch, in place of one that was not answered.
     pub fn ask(&mut self, transport: &mut Transport, now: Time) -> Option<Heard> {
-        if self.open.as_ref().is_some_and(|o| o.stands) {
+        if self.stands() {
             return None;
         }
         close(transport, &mut self.open, End::GivenUp);
@@ -101,17 +102,18 @@
 
     pub fn event(&mut self, transport: &mut Transport, now: Time, event: Event) -> Vec<Heard> {
         let mut heard = Vec::new();
-        let of_former = self.former.as_ref().is_some_and(|o| o.connection.id == event.id);
+        let of_former = self.is_former(event.id);
         let watch = if of_former { &mut self.former } else { &mut self.open };
         let Some(open) = watch.as_mut().filter(|o| o.connection.id == event.id) else { return heard };
         let went_on = open.go_on(transport, now, event, &mut heard);
-        let stands = open.stands;
-        for list in heard.iter().filter_map(Heard::list).filter(|l| !of_former && l.revision > 0) {
-            self.revision = Some(list.revision);
+        for told in heard.iter().filter(|_| !of_former) {
+            if let Heard::Listed(list) = told {
+                self.revision = Some(list.revision).filter(|r| *r > 0).or(self.revision);
+            }
         }
         if let Err(end) = went_on {
             heard.extend(self.lose(transport, event.id, end));
-        } else if !of_former && stands {
+        } else if self.stands() {
             close(transport, &mut self.former, End::Done);
         }
         heard
@@ -124,7 +126,7 @@
     }
 
     fn lose(&mut self, transport: &mut Transport, id: ConnId, end: End) -> Option<Heard> {
-        if self.former.as_ref().is_some_and(|o| o.connection.id == id) {
+        if self.is_former(id) {
             // The one at the new address is asked for already.
             close(transport, &mut self.former, end);
             return None;
@@ -150,41 +152,40 @@
         event: Event,
         heard: &mut Vec<Heard>,
     ) -> Result<(), End> {
-        let open = self;
-        if !open.connection.is_up() {
-            open.connection.come_up()?;
-            transport.timers.set(open.connection.id, now + SILENCE);
+        if !self.connection.is_up() {
+            self.connection.come_up()?;
+            transport.timers.set(self.connection.id, now + SILENCE);
         }
-        open.connection.flush()?;
-        open.connection.take_in(&event);
-        while let Some(piece) = open.reader.next(&mut open.connection.input).map_err(|_| End::Malformed)? {
+        self.connection.flush()?;
+        self.connection.take_in(&event);
+        while let Some(piece) = self.reader.next(&mut self.connection.input).map_err(|_| End::Malformed)? {
             match piece {
-                Piece::Head(head) if head.status == 200 => open.answered = true,
+                Piece::Head(head) if head.status == 200 => self.answered = true,
                 Piece::Head(head) => {
                     log::warn!("discovery answers {}", head.status);
                     return Err(End::Closed);
                 }
-                Piece::End if open.answered => return Err(End::Closed),
+                Piece::End if self.answered => return Err(End::Closed),
                 Piece::End => {}
                 Piece::Body(part) => {
-                    open.line.extend(part);
-                    transport.timers.set(open.connection.id, now + SILENCE);
-                    while let Some(end) = open.line.iter().position(|b| *b == b'\n') {
-                        let line: Vec<u8> = open.line.drain(..=end).collect();
-                        let first = !open.stands;
-                        open.stands = true;
+                    self.line.extend(part);
+                    transport.timers.set(self.connection.id, now + SILENCE);
+                    while let Some(end) = self.line.iter().position(|b| *b == b'\n') {
+                        let line: Vec<u8> = self.line.drain(..=end).collect();
+                        let first = !self.stands;
+                        self.stands = true;
                         heard.extend(read_line(line.trim_ascii(), first).map(Heard::Listed));
                     }
-                    if open.line.len() > MOST_LINE {
+                    if self.line.len() > MOST_LINE {
                         return Err(End::Malformed);
                     }
                 }
             }
         }
-        if let Some(end) = open.connection.ended() {
+        if let Some(end) = self.connection.ended() {
             return Err(end);
         }
-        open.connection.rearm(transport);
+        self.connection.rearm(transport);
         Ok(())
     }
 }
