Silent through caches, reads nobody may take, and cold budgets: three findings mended

Causes, from the book of each run: (1) through, one of nine caches hangs: calls joined to a read that was out there waited their whole SLO without a shot of their own, since silence was told by overtaking in aside mode only (call_off_lost). (2) aside, half of the caches silent to one node: 5% of its reads, those with all three candidates there, waited 0.4 of the SLO and were rate-limited (place). (3) every cache replaced in turn: a cold cache's budget is the mean of a warm-up's time over a warm size that was twice as large then (cold_rate).

Change: three shots out for long at a through cache with nothing heard since, while most others answer, tell that it is silent: its reads are called off and sent again and it is out until a trial. A read whose candidates all fail or failed it goes to the origin, under its limit. Cold budgets follow what is asked for over the warm size now, up to 1.5 times that mean.

--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -48,6 +48,7 @@
     pub repeat: usize,
     pub node: Option<PathBuf>,
     pub report: Option<PathBuf>,
+    pub book: bool,
     pub jobs: usize,
 }
 
@@ -56,8 +57,9 @@
     let repeat = long("repeat").help("Play each seed so often").argument("N").fallback(1);
     let node = node();
     let report = long("report").help("Write reports to this folder").argument::<PathBuf>("DIR").optional();
+    let book = long("book").help("With each report, write every record that it rests on").switch();
     let jobs = long("jobs").help("Play so many at a time").argument("N").fallback(1);
-    construct!(Options { seed, repeat, node, report, jobs })
+    construct!(Options { seed, repeat, node, report, book, jobs })
 }
 
 fn files() -> impl Parser<Vec<PathBuf>> {
@@ -252,7 +254,8 @@
     let played = runs::play_schedule(&experiment, &schedule, seed, &node)?;
     println!("{}", report::summary(&format!("{} replayed", experiment.name), &played.verdict));
     if let Some(folder) = &options.report {
-        report::write(&folder.join(format!("{}-replayed", experiment.name)), &experiment, seed, &played)?;
+        let file = folder.join(format!("{}-replayed", experiment.name));
+        report::write(&file, &experiment, seed, &played, options.book)?;
     }
     Ok(if played.verdict.holds() { Ended::Held } else { Ended::FellShort })
 }
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -48,7 +48,13 @@
 ///
 /// # Errors
 /// Names the file that can't be written.
-pub fn write(file: &Path, experiment: &Experiment, seed: u64, played: &Played) -> Result<(), String> {
+pub fn write(
+    file: &Path,
+    experiment: &Experiment,
+    seed: u64,
+    played: &Played,
+    whole_book: bool,
+) -> Result<(), String> {
     let told = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
     if let Some(folder) = file.parent() {
         std::fs::create_dir_all(folder).map_err(|e| told(folder, e))?;
@@ -59,6 +65,10 @@
     });
     let path = file.with_extension("json");
     std::fs::write(&path, format!("{report:#}")).map_err(|e| told(&path, e))?;
+    if whole_book {
+        let path = file.with_extension("book.json");
+        std::fs::write(&path, json!(played.book).to_string()).map_err(|e| told(&path, e))?;
+    }
     let page = page::page(experiment, seed, &played.verdict, &played.book.events)?;
     let path = file.with_extension("html");
     std::fs::write(&path, page).map_err(|e| told(&path, e))
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -108,7 +108,7 @@
     let mut text = report::summary(&name, &played.verdict);
     if let Some(folder) = &options.report {
         let file = folder.join(format!("{}-{seed}-{n}", experiment.name));
-        if let Err(trouble) = report::write(&file, experiment, seed, &played) {
+        if let Err(trouble) = report::write(&file, experiment, seed, &played, options.book) {
             return (format!("{name}: {trouble}"), Ended::CouldNotRun);
         }
     }
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -6,7 +6,7 @@
 
 use granitelb_lab::experiment::Experiment;
 use granitelb_lab::schedule::Schedule;
-use granitelb_lab::{program, runs};
+use granitelb_lab::{program, recording, runs, stats};
 use test_case::test_case;
 
 /// So many at a time leave each of them cores enough.
@@ -99,3 +99,80 @@
     assert_eq!(trouble.line, line, "{trouble}");
     assert!(trouble.to_string().starts_with("x.toml:"), "{trouble}");
 }
+
+/// Clients repeat much in this one, and a replay must not ask for their repeats besides.
+const RESTLESS: &str = r#"
+name = "restless"
+about = "clients that repeat"
+seconds = 4
+
+[world]
+nodes = 1
+caches = 2
+
+[load]
+rate = 150
+clients.retries = 3
+clients.backoff_ms = 20
+
+[[fault]]
+kind = "spoil"
+caches = [0, 1]
+how = "error"
+share = 0.6
+at_s = 0
+for_s = 3
+
+[[fault]]
+kind = "spoil"
+how = "error"
+share = 0.6
+at_s = 0
+for_s = 3
+"#;
+
+#[test]
+fn a_replay_asks_each_call_once() {
+    let experiment = Experiment::read(Path::new("restless.toml"), RESTLESS).expect("a sound experiment");
+    let node = program::node(None).expect("the program");
+    let drawn = Schedule::draw(&experiment, 3);
+    let played = {
+        let _turn = Turn::wait();
+        runs::play_schedule(&experiment, &drawn, 3, &node).expect("a run")
+    };
+    assert!(played.book.tries.len() > drawn.calls.len(), "no client repeated anything");
+    let text = recording::record(&experiment, &drawn, &played.book);
+    assert_eq!(text.lines().count(), played.book.tries.len());
+    let replayed = recording::read(Path::new("recorded"), &text, &experiment).expect("a sound recording");
+    assert_eq!(replayed.text(), drawn.text());
+}
+
+#[test_case(
+    "{\"at_us\": 5, \"node\": 0, \"product\": \"none\", \"key\": 1}",
+    "r:1: product: there is no none"
+)]
+#[test_case(
+    "{\"at_us\": 5, \"node\": 7, \"product\": \"summary\", \"key\": 1}",
+    "r:1: node: there is no node 7"
+)]
+#[test_case("\n{\"at_us\": -1, \"node\": 0, \"product\": \"summary\", \"key\": 1}", "r:2: at_us: not within")]
+#[test_case("{\"at_us\": 5, \"knot\": 0}", "r:1: unknown field `knot`")]
+fn a_fault_in_a_recording_is_told_by_its_line(text: &str, says: &str) {
+    let experiment = Experiment::read(Path::new("restless.toml"), RESTLESS).expect("a sound experiment");
+    let trouble = recording::read(Path::new("r"), text, &experiment).expect_err("a faulty recording");
+    assert!(trouble.contains(says), "{trouble}");
+}
+
+#[test]
+fn an_interval_holds_a_difference_that_is_there_and_none_that_is_not() {
+    // Blocks that differ by chance alone, and the same with a tenth more on the second side.
+    let blocks = |more: f64| -> Vec<[(f64, f64); 2]> {
+        let wave = |n: usize| 80.0 + ((n * 37) % 11) as f64;
+        (0..60).map(|n| [(wave(n), 100.0), (wave(n + 5) + more, 100.0)]).collect()
+    };
+    let none = stats::difference_of_ratios(&blocks(0.0), 1).expect("blocks");
+    assert!(none.low < 0.0 && none.high > 0.0, "{none:?}");
+    let some = stats::difference_of_ratios(&blocks(10.0), 1).expect("blocks");
+    assert!(some.low > 0.05 && some.high < 0.15, "{some:?}");
+    assert!(stats::difference_of_ratios(&[], 1).is_none());
+}
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -2,12 +2,13 @@
 
 mod command;
 mod config;
+mod log_format;
 mod signals;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use command::Command;
+use command::{Command, LogFormat};
 use config::Config;
 use signals::Signals;
 
@@ -27,7 +28,7 @@
     match command {
         Command::Version => println!("granitelb {}", env!("CARGO_PKG_VERSION")),
         Command::Check { config } => println!("{}", load(config.as_deref())?),
-        Command::Serve { config } => serve(config)?,
+        Command::Serve { config, log } => serve(config, log)?,
     }
     Ok(())
 }
@@ -36,15 +37,15 @@
     Config::load(path).map_err(|fault| format!("configuration, {fault}"))
 }
 
-fn serve(path: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+fn serve(path: Option<PathBuf>, log: LogFormat) -> Result<(), Box<dyn std::error::Error>> {
+    log_format::start(log);
     let config = load(path.as_deref())?;
     // Before anything is served: a signal that nobody heeds ends the program.
     let signals = Signals::heed(path, config)?;
-    log::info!("{}", signals.config());
+    log::info!(event = "starting"; "{}", signals.config());
     let node = Node::open(signals.config().setup())?;
-    log::info!("ready");
+    log::info!(event = "ready"; "ready");
     node.serve(signals)?;
-    log::info!("ended");
+    log::info!(event = "ended"; "ended");
     Ok(())
 }
--- a/crates/node/src/program/signals.rs
+++ b/crates/node/src/program/signals.rs
@@ -37,14 +37,14 @@
     fn reload(&self) -> Option<Order> {
         match load(self.path.as_deref()) {
             Ok(config) => {
-                log::info!("read again: {config}");
+                log::info!(event = "reloaded"; "read again: {config}");
                 for key in config.for_next_start(&self.running) {
-                    log::warn!("configuration, {key}: it differs, and is taken up at the next start only");
+                    log::warn!(event = "reload_later", key = key; "configuration, {key}: it differs, and is taken up at the next start only");
                 }
                 Some(Order::Reload(config.live()))
             }
             Err(trouble) => {
-                log::error!("{trouble}; the configuration before it stays in force");
+                log::error!(event = "reload_refused"; "{trouble}; the configuration before it stays in force");
                 None
             }
         }
--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -59,7 +59,10 @@
                 let listings = self.listings(sides, now, list);
                 let ready = self.placed.len();
                 if std::mem::replace(&mut self.ready, ready) != ready {
-                    log::info!("the list at revision {}: {ready} caches may get shots", list.revision);
+                    log::info!(
+                        event = "list_changed", revision = list.revision, ready = ready;
+                        "the list at revision {}: {ready} caches may get shots", list.revision
+                    );
                 }
                 self.brain.caches_listed(now, &listings, list.complete);
             }
@@ -79,10 +82,15 @@
             for (_, (_, gone)) in self.placed.extract_if(.., |id, (at, _)| takes_over(id, *at)) {
                 listings.push(Listing { ready: false, ..gone });
             }
-            match listing.ready {
+            let before = match listing.ready {
                 true => self.placed.insert(listing.cache, (*endpoint, *listing)),
                 false => self.placed.remove(&listing.cache),
             };
+            if before.is_some() != listing.ready {
+                let event = if listing.ready { "cache_ready" } else { "cache_left" };
+                let cache = format!("{:016x}", listing.cache.0);
+                log::debug!(event = event, cache = cache, endpoint:% = endpoint; "cache at {endpoint}: {event}");
+            }
             listings.push(*listing);
         }
         if list.complete {
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -174,7 +174,7 @@
             // Told again, it keeps to the time that it has.
             Order::Stop if self.stopping.is_some() => {}
             Order::Stop => {
-                log::info!("stopping: finishing what was taken");
+                log::info!(event = "stopping"; "stopping: finishing what was taken");
                 self.stopping = Some(now);
                 self.clients.begin_closing();
             }
@@ -263,7 +263,7 @@
                 // Epoll would tell of them without end: they wait at the door until there is room.
                 listener.pause(&self.transport, true);
                 if self.full_until.is_none() {
-                    log::warn!("no room for new clients");
+                    log::warn!(event = "no_room"; "no room for new clients");
                 }
                 self.full_until = Some(now + FULL);
                 return;
@@ -280,7 +280,7 @@
     fn log_tally(&mut self) {
         let tally = self.exchanges.take_tally();
         if !tally.is_empty() {
-            log::info!("{tally}");
+            tally.log();
         }
     }
 
@@ -291,7 +291,7 @@
         }
         let ran_out = self.transport.take_ran_out();
         if ran_out {
-            log::warn!("descriptors ran out");
+            log::warn!(event = "no_descriptors"; "descriptors ran out");
         }
         let mut to_close = if ran_out { self.kept_free } else { 0 };
         while self.transport.room() <= self.kept_free || to_close > 0 {
@@ -326,7 +326,8 @@
         let Some(at) = self.stopping else { return false };
         let late = now - at >= self.longest_call + STAYS;
         if late {
-            log::warn!("stopping with {} calls unanswered", self.exchanges.waiting());
+            let waiting = self.exchanges.waiting();
+            log::warn!(event = "stopped_short", waiting = waiting; "stopping with {waiting} calls unanswered");
         }
         late || self.idle_closed && self.clients.are_done()
     }
--- a/crates/node/src/routing/tally.rs
+++ b/crates/node/src/routing/tally.rs
@@ -43,6 +43,16 @@
         *self.shots.entry(word).or_default() += 1;
     }
 
+    pub fn log(&self) {
+        let Tally { fulfilled, rate_limited, errored, left, shots } = self;
+        let shots: u64 = shots.values().sum();
+        log::info!(
+            event = "tally", fulfilled = fulfilled, rate_limited = rate_limited, errored = errored, left = left,
+            shots = shots;
+            "{self}"
+        );
+    }
+
     pub fn is_empty(&self) -> bool {
         self.fulfilled + self.rate_limited + self.errored + self.left == 0 && self.shots.is_empty()
     }
--- a/crates/node/src/routing/watch.rs
+++ b/crates/node/src/routing/watch.rs
@@ -59,7 +59,7 @@
         if discovery == self.discovery {
             return None;
         }
-        log::info!("the watch on the list moves from {} to {discovery}", self.discovery);
+        log::info!(event = "watch_moved"; "the watch on the list moves from {} to {discovery}", self.discovery);
         (self.discovery, self.host) = (discovery, discovery.to_string());
         // Whoever is there may count revisions of its own: the whole list is asked for. It changes only what differs.
         self.revision = None;
@@ -87,7 +87,7 @@
         let mut connection = match Connection::begin(transport, self.discovery, self.owner) {
             Ok(connection) => connection,
             Err(end) => {
-                log::warn!("discovery can't be reached: {end:?}");
+                log::warn!(event = "watch_lost", end:? = end; "discovery can't be reached: {end:?}");
                 return Some(Heard::Lost);
             }
         };
@@ -131,7 +131,7 @@
             close(transport, &mut self.former, end);
             return None;
         }
-        log::warn!("the watch on the list is lost: {end:?}");
+        log::warn!(event = "watch_lost", end:? = end; "the watch on the list is lost: {end:?}");
         close(transport, &mut self.open, end);
         Some(Heard::Lost)
     }
@@ -162,7 +162,7 @@
             match piece {
                 Piece::Head(head) if head.status == 200 => self.answered = true,
                 Piece::Head(head) => {
-                    log::warn!("discovery answers {}", head.status);
+                    log::warn!(event = "watch_refused", status = head.status; "discovery answers {}", head.status);
                     return Err(End::Closed);
                 }
                 Piece::End if self.answered => return Err(End::Closed),
@@ -198,12 +198,12 @@
     match Listings::read(line) {
         Ok(listings) => {
             for skipped in &listings.skipped {
-                log::warn!("an entry of the list was passed over: {skipped}");
+                log::warn!(event = "entry_skipped"; "an entry of the list was passed over: {skipped}");
             }
             Some(listings)
         }
         Err(trouble) => {
-            log::warn!("a line of the list was passed over: {trouble}");
+            log::warn!(event = "line_skipped"; "a line of the list was passed over: {trouble}");
             first.then(Listings::default)
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,9 +67,15 @@
 const COME_BACK: f64 = 4.0;
 /// A shot left without an answer for less than this share of its SLO says nothing of the cache.
 const SILENCE_SHARE: f64 = 0.5;
+/// So many shots at a through cache that are out for long, with nothing heard from it since, tell that it is silent;
+/// unless more than this share of all caches keep some so: then it is the origin that keeps them.
+const SILENT_SHOTS: u32 = 3;
+const SILENT_CACHES: f64 = 0.34;
 /// A tenant's unused quota is kept for this long, but so many calls of it at the least: few come in groups.
 const QUOTA_MEMORY_S: f64 = 1.0;
 const QUOTA_SAVED: f64 = 8.0;
+/// Cold caches are sent at most so many times what warm size carried of late, where calls ask for more.
+const COLD_GROWS: f64 = 1.5;
 /// How often waiting calls are looked at when nothing happens.
 const RECHECK: Span = Span::from_millis(20);
 /// A refused or unanswered watch is asked for again after this, growing, with jitter.
@@ -105,6 +111,9 @@
     /// The quickest answer of late, and when the last of the shots was sent that were answered soon.
     quickest: Span,
     overtook: Time,
+    /// When anything was heard from it last, and how many shots have been out for long since.
+    heard: Time,
+    silent: u32,
 }
 
 struct KeyWeights {
@@ -192,6 +201,9 @@
     /// Work sent to caches in the fall window, and its part for each unit of warm size over a warm-up's time.
     sent: FadingSum,
     carried: FadingMean,
+    /// Work that calls asked of caches, over the fall window, and the warm size at the last learning step.
+    wanted: FadingSum,
+    warm_size: f64,
     now: Time,
 }
 
@@ -216,6 +228,8 @@
         let quota = |per_s: &f64| (most_quota(per_s / settings.nodes), now);
         Brain {
             sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
+            wanted: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
+            warm_size: 0.0,
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
             latencies: settings.products.iter().map(latencies).collect(),
             quotas: settings.quotas_per_s.iter().map(quota).collect(),
@@ -400,10 +414,9 @@
             self.alarms.insert((open.slo_end, id));
             return None;
         }
-        let target = if asks_origin {
-            self.caches.keys().copied().find(|c| self.is_origin(*c) && self.is_free(now, id, *c))
-        } else {
-            self.best_candidate(now, id)
+        let target = match (!asks_origin).then(|| self.best_candidate(now, id)).flatten() {
+            None if asks_origin || self.all_fail(id) => self.free_origin(now, id),
+            cache => cache,
         };
         if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
             self.give_up(id);
@@ -435,6 +448,18 @@
         open.find(|c| self.is_free(now, id, *c))
     }
 
+    fn free_origin(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
+        self.caches.keys().copied().find(|c| self.is_origin(*c) && self.is_free(now, id, *c))
+    }
+
+    /// Whether all candidates of a read fail or failed it, so that nobody is left but the origin, under its limit.
+    fn all_fail(&self, id: ApiCallId) -> bool {
+        let open = &self.open[&id];
+        let fails = |c| open.passed.contains(c) || self.caches.get(c).is_some_and(|c| c.trial.is_some());
+        let ranked = self.ranked(open.call.key);
+        !ranked.is_empty() && ranked.iter().all(fails)
+    }
+
     fn is_free(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         self.may_send(now, id, cache) && self.has_room(now, id, cache)
     }
@@ -508,7 +533,10 @@
         let warmth = self.warmth(now, c);
         // Twice the part may come together by chance; where even that would topple it, it gets less.
         let part = (self.settings.fall_multiple * 0.5).min(1.0) / self.settings.fall_window.as_secs_f64();
-        (self.carried.read(now) * self.size_of(&c.listing) * part).max(1.0 / self.settings.nodes) * warmth
+        // Where the fleet grows colder the same calls fall to less warm size: the mean of before would refuse them.
+        let (carried, wanted) = (self.carried.read(now), self.wanted.read(now) / self.warm_size.max(1e-9));
+        let carried = wanted.min(carried * COLD_GROWS).max(carried);
+        (carried * self.size_of(&c.listing) * part).max(1.0 / self.settings.nodes) * warmth
     }
 
     /// The work saved up for a cold cache. Far less than a call's at each of many nodes: it is sent once
@@ -580,13 +608,32 @@
         let Some(n) = open.first_out().filter(|n| may && !self.is_origin(open.shots[*n].cache)) else {
             return;
         };
-        if self.is_overtaken(&open.shots[n]) {
+        let shot = open.shots[n];
+        if self.is_overtaken(&shot) || self.note_silence(now, &shot) {
             self.recalls.push_back((id, ShotNumber(n as u8)));
         } else {
             self.alarms.insert((now + LEARNING_STEP.scaled(0.5), id));
         }
     }
 
+    /// Whether a through cache is silent, by a shot that has been out for long: it says neither hits nor fetches,
+    /// and not for the origin's sake, since others do. Then it is out for all calls until a trial succeeds.
+    fn note_silence(&mut self, now: Time, shot: &Sent) -> bool {
+        let first = now < shot.at + self.product(shot.call.product).slo.scaled(SLOW_SHARE) + RECHECK;
+        let Some(c) = self.caches.get_mut(&shot.cache).filter(|c| c.heard < shot.at) else { return false };
+        c.silent += u32::from(first);
+        if self.settings.mode != Mode::Through || c.silent < SILENT_SHOTS {
+            return false;
+        }
+        let quiet = self.caches.values().filter(|c| c.silent > 0).count();
+        if quiet as f64 > (self.serving.len() as f64 * SILENT_CACHES).max(1.0) {
+            return false;
+        }
+        let c = self.caches.get_mut(&shot.cache).expect("looked at above");
+        c.trial = c.trial.or(Some((now + FIRST_TRIAL, FIRST_TRIAL)));
+        true
+    }
+
     fn is_overtaken(&self, sent: &Sent) -> bool {
         self.caches.get(&sent.cache).is_some_and(|c| c.overtook > sent.at + RECHECK)
     }
@@ -672,6 +719,7 @@
         let warm_size = |c: &Cache| self.size_of(&c.listing) * self.warmth(now, c);
         let size: f64 = self.caches.values().filter(|c| c.serves()).map(warm_size).sum();
         self.carried.add(now, self.sent.read(now) / size.max(1e-9));
+        self.warm_size = size;
         let usage = |c: &Cache| match self.settings.live_sizes {
             true => self.held(&c.listing),
             false => c.usage.read(now) / self.size_of(&c.listing),
@@ -698,6 +746,7 @@
         if call.write && self.settings.mode != Mode::Through {
             return;
         }
+        self.wanted.add(now, self.work_of(now, call));
         let total = self.asked.read(now).max(1.0);
         let asked = self.keys.get(&call.key).map_or(0.0, |k| k.asked.read(now)) + 1.0;
         let slot = self.slot_of(call.key, (asked - SURE * asked.sqrt()) / total);
@@ -807,6 +856,9 @@
         let overtaken = self.is_overtaken(sent);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
+        if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot) {
+            (c.heard, c.silent) = (now, 0);
+        }
         let answered = if outcome == Outcome::Fulfilled { latency } else { c.quickest };
         c.quickest = c.quickest.scaled(1.001).min(answered);
         // Behind a through cache a fetch may keep one call longer than others.
@@ -968,6 +1020,8 @@
             push: 0.0,
             quickest: Span(1 << 40),
             overtook: now,
+            heard: now,
+            silent: 0,
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -419,6 +419,9 @@
 #[test_case(scenario!("crowd"); "crowd")]
 #[test_case(scenario!("lost-answers"); "lost answers")]
 #[test_case(scenario!("silence"); "silence")]
+#[test_case(scenario!("silent-through"); "silent through")]
+#[test_case(scenario!("origin-stalls"); "origin stalls")]
+#[test_case(scenario!("all-fail"); "all fail")]
 #[test_case(scenario!("short-slo"); "short slo")]
 fn scenario(text: &str) {
     play(text);
