--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -49,6 +49,11 @@
 #[test_case("rolling-replacement")]
 #[test_case("bad-clients")]
 #[test_case("silent-through")]
+#[test_case("discovery-silent-and-moved")]
+#[test_case("origin-stops")]
+#[test_case("late-and-narrow-links")]
+#[test_case("frozen-nodes")]
+#[test_case("spoilt-answers")]
 fn rules_hold_and_service_comes_back(name: &str) {
     let experiment = Experiment::load(&file(name)).expect("a sound experiment");
     let node = program::node(None).expect("the program");
