Silent zones: only caches speak for them, only reads try them; the fleet model in parts

(1) Shots at the origin counted as trials of the zone it stands in, and its answers as that zone's (send in choosing.rs, judge in known.rs): writes put off the trial of a silent zone's caches for as long as they went on. (2) A through cache that waited for a stalled origin counted as silent, three of them as a silent zone. (3) A call that must not run twice could be the trial. (4) Slots in use were ranked anew at each call. (5) No test of the module alone caused a silent zone, a zone's trial, or the half of the origin's limit; the fleet's bar for a lost zone held without the rule on zones.

--- a/crates/fleet/src/came.rs
+++ b/crates/fleet/src/came.rs
@@ -22,8 +22,6 @@
     pub at_origin: usize,
     pub origin_full: usize,
     pub handshakes: usize,
-    /// Bytes of letters between nodes, counted at each that received them.
-    pub letter_bytes: usize,
     /// Tries with more than one final answer, none, or one after the client's time.
     pub unsound: usize,
     /// Two shots of one call out at once.
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -26,8 +26,6 @@
     Replace(f64),
     /// This share of all nodes is killed at the start of the fault, and starts anew, knowing nothing.
     NodesKilled(f64),
-    /// Letters between nodes are lost.
-    Unheard,
 }
 
 impl Fault {
--- /dev/null
+++ b/crates/fleet/src/world/events.rs
@@ -0,0 +1,75 @@
+//! What happens in a fleet, in order of time.
+
+use granitelb::calls::{Listing, Outcome};
+use granitelb::ids::Key;
+use granitelb::units::Time;
+
+use crate::server::Job;
+
+/// A shot, by its node's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShotId {
+    pub node: usize,
+    pub life: u32,
+    pub call: u64,
+    pub number: u8,
+}
+
+#[derive(Debug)]
+pub enum What {
+    Call { node: usize },
+    Again { node: usize, first: Time, key: Key, write: bool, deadline: Time },
+    Connected { shot: ShotId },
+    Comes { shot: ShotId, server: usize, job: Job },
+    Done { server: usize, life: u32, job: Job },
+    Answer { shot: ShotId, outcome: Outcome, stored: bool },
+    GiveUp { shot: ShotId },
+    Wake { node: usize, life: u32 },
+    List { node: usize, life: u32, listing: Listing },
+    Loses { zone: usize },
+    Returns { zone: usize },
+    Replaces { old: usize },
+    Leaves { server: usize },
+    Kills { node: usize },
+}
+
+/// An event at its time; the order of making parts those of one time.
+pub struct Next(pub Time, pub u64, pub What);
+
+impl PartialEq for Next {
+    fn eq(&self, other: &Next) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Next {}
+
+impl PartialOrd for Next {
+    fn partial_cmp(&self, other: &Next) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Next {
+    fn cmp(&self, other: &Next) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::cmp::Reverse;
+    use std::collections::BinaryHeap;
+
+    use super::*;
+
+    #[test]
+    fn events_come_in_order_of_time_and_then_of_making() {
+        let mut heap = BinaryHeap::new();
+        for (time, order) in [(5, 1), (3, 2), (3, 0)] {
+            heap.push(Reverse(Next(Time(time), order, What::Leaves { server: 0 })));
+        }
+        let order: Vec<_> = std::iter::from_fn(|| heap.pop()).map(|Reverse(n)| (n.0.0, n.1)).collect();
+        assert_eq!(order, [(3, 0), (3, 2), (5, 1)]);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/world/mod.rs
@@ -0,0 +1,253 @@
+//! The fleet as it runs: events in order of time, nodes, servers and what passes between them.
+
+mod events;
+mod nodes;
+mod servers;
+mod troubles;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
+use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, ZoneId};
+use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::units::{Span, Time};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, Gamma, LogNormal};
+
+use crate::came::Came;
+use crate::faults::Kind;
+use crate::mind::{Mind, Order};
+use crate::network::Network;
+use crate::play::{MOST_SHOTS, Play, READ_TIMEOUT, SLO, WRITE_TIMEOUT};
+use crate::popularity::Popularity;
+use crate::server::{Job, Server};
+
+use events::{Next, ShotId, What};
+
+const START: Time = Time(1_000_000_000);
+const COLD_FROM: f64 = 0.25;
+const WARM_AFTER: Span = Span::from_millis(20_000);
+/// A client that does not heed the time to come back, or was told none, waits so long.
+const BACKOFF: Span = Span::from_millis(60);
+/// Connections that were idle for longer than this share of the servers' limit are not used.
+const IDLE_SHARE: f64 = 0.7;
+
+struct Call {
+    first: Time,
+    deadline: Time,
+    key: Key,
+    write: bool,
+    again: bool,
+    shots: u8,
+    out: usize,
+    missed: Vec<usize>,
+}
+
+struct Shot {
+    server: usize,
+    at: Time,
+    /// Its connection is up, and so may be used again.
+    up: bool,
+    job: Job,
+}
+
+struct Node {
+    mind: Mind,
+    zone: usize,
+    rate: f64,
+    life: u32,
+    calls: HashMap<u64, Call>,
+    shots: HashMap<(u64, u8), Shot>,
+    idle: HashMap<usize, Vec<Time>>,
+    wake: Option<Time>,
+}
+
+struct World<'a> {
+    play: &'a Play,
+    network: Network<'a>,
+    now: Time,
+    chance: ChaCha8Rng,
+    nodes: Vec<Node>,
+    servers: Vec<Server>,
+    listed: Vec<Listing>,
+    origin: usize,
+    origin_slots: usize,
+    popularity: Popularity,
+    events: BinaryHeap<Reverse<Next>>,
+    order: u64,
+    calls: u64,
+    came: Came,
+}
+
+/// Plays it through.
+pub fn play(play: &Play) -> Came {
+    let mut world = World::new(play);
+    world.run();
+    world.came
+}
+
+/// What every node is told of the site.
+fn settings(play: &Play) -> Settings {
+    let product = |billed_value, effect| Product { slo: SLO, billed_value, effect };
+    let window = Span::from_millis(3000);
+    let dropped = Effect::Deduplicated { scope: DedupScope::All, window };
+    Settings {
+        mode: Mode::Aside { origin: KindId(1) },
+        products: vec![product(1.0, Effect::Idempotent), product(2.0, dropped)],
+        quotas_per_s: Vec::new(),
+        nodes: play.nodes as f64,
+        list_on_request: false,
+        must_ask_in: Span::from_millis(10_000),
+        cold_from: COLD_FROM,
+        warm_after: WARM_AFTER,
+        fall_multiple: 3.0,
+        fall_window: Span::from_millis(2000),
+        max_shots: MOST_SHOTS,
+        second_copies: false,
+        may_recall: true,
+        max_come_back: Span::from_millis(1500),
+        value_by_work: true,
+        steady_sizes: false,
+        live_sizes: false,
+    }
+}
+
+impl World<'_> {
+    fn new(play: &Play) -> World<'_> {
+        let mut chance = ChaCha8Rng::seed_from_u64(play.seed);
+        let popularity = Popularity::new(play);
+        let keeps = (popularity.pooled(play).1 / play.caches as f64).ceil() as usize;
+        let cache = |n: usize, chance: &mut ChaCha8Rng| {
+            let queue = chance.random_range(play.queue.0..=play.queue.1);
+            Server::new(n % play.zones, 1, queue, 0.9 + 0.2 * chance.random::<f64>(), keeps)
+        };
+        let mut servers: Vec<_> = (0..play.caches).map(|n| cache(n, &mut chance)).collect();
+        // What misses and writes ask of the origin on a usual day.
+        let asked = play.rate() * ((1.0 - play.writes) * (1.0 - play.hits) + play.writes * 2.0);
+        let slots = (asked * play.origin_headroom * play.origin_time.as_secs_f64()).ceil() as usize;
+        let origin = servers.len();
+        servers.push(Server::new(usize::from(play.zones > 1), 1_000_000, slots * 4, 1.0, 0));
+        let spread = LogNormal::new(0.0, play.node_spread).expect("a sound spread");
+        let shares: Vec<f64> = (0..play.nodes).map(|_| spread.sample(&mut chance)).collect();
+        let total: f64 = shares.iter().sum();
+        let mut world = World {
+            play,
+            network: Network { play, start: START + Span::from_secs_f64(play.warm_up) },
+            now: START,
+            nodes: Vec::new(),
+            servers,
+            listed: Vec::new(),
+            origin,
+            origin_slots: slots,
+            popularity,
+            events: BinaryHeap::new(),
+            order: 0,
+            calls: 0,
+            came: Came { by_second: vec![(0, 0); play.seconds.ceil() as usize + 1], ..Came::default() },
+            chance,
+        };
+        world.listed = (0..=origin).map(|n| world.listing(n)).collect();
+        for (n, share) in shares.iter().enumerate() {
+            let mut mind = Mind::new(play.policy, settings(play), play.seed ^ (n as u64) << 20, START);
+            mind.listed(START, &world.listed, true);
+            let rate = play.rate() * share / total;
+            let (calls, shots, idle) = (HashMap::new(), HashMap::new(), HashMap::new());
+            world.nodes.push(Node {
+                mind,
+                zone: n % play.zones,
+                rate,
+                life: 0,
+                calls,
+                shots,
+                idle,
+                wake: None,
+            });
+            let first = world.gap(n);
+            world.later(first, What::Call { node: n });
+        }
+        world.plan_faults();
+        world
+    }
+
+    fn listing(&self, server: usize) -> Listing {
+        let s = &self.servers[server];
+        Listing {
+            cache: CacheId(server as u64),
+            kind: KindId(u16::from(server == self.origin)),
+            size: 1.0,
+            zone: ZoneId(s.zone as u16),
+            cell: CellId(0),
+            ready: !s.left,
+            started: s.started,
+        }
+    }
+
+    fn later(&mut self, after: Span, what: What) {
+        self.order += 1;
+        self.events.push(Reverse(Next(self.now + after, self.order, what)));
+    }
+
+    /// Seconds since the day began, after the warm-up.
+    fn day_s(&self, at: Time) -> f64 {
+        at.0 as f64 / 1e6 - START.0 as f64 / 1e6 - self.play.warm_up
+    }
+
+    fn gap(&mut self, node: usize) -> Span {
+        let gap: f64 = Exp1.sample(&mut self.chance);
+        let burst = self.network.acting(self.now).find_map(|k| match k {
+            Kind::Burst(by) => Some(by),
+            _ => None,
+        });
+        let rate = self.nodes[node].rate * burst.unwrap_or(1.0);
+        Span::from_secs_f64(gap / rate)
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse(Next(time, _, what))) = self.events.pop() {
+            self.now = time;
+            self.happens(what);
+        }
+        let left: usize = self.nodes.iter().map(|n| n.calls.len()).sum();
+        self.came.unsound += left;
+    }
+
+    fn happens(&mut self, what: What) {
+        match what {
+            What::Call { node } => self.call(node),
+            What::Again { node, first, key, write, deadline } => {
+                self.try_call(node, first, key, write, deadline, true);
+            }
+            What::Connected { shot } => self.write(shot),
+            What::Comes { shot, server, job } => self.comes(shot, server, job),
+            What::Done { server, life, job } => self.done(server, life, job),
+            What::Answer { shot, outcome, stored } => self.shot_ends(shot, outcome, stored),
+            What::GiveUp { shot } => {
+                let up = self.shot(shot).is_some_and(|s| s.up);
+                let outcome = if up { Outcome::TimedOut } else { Outcome::Unreachable };
+                self.shot_ends(shot, outcome, false);
+            }
+            What::Wake { node, life } if self.nodes[node].life == life => {
+                self.nodes[node].wake = None;
+                self.pull(node);
+            }
+            What::List { node, life, listing } if self.nodes[node].life == life => {
+                self.nodes[node].mind.listed(self.now, &[listing], false);
+                self.pull(node);
+            }
+            What::Wake { .. } | What::List { .. } => {}
+            What::Loses { zone } => self.lose(zone),
+            What::Returns { zone } => self.bring_back(zone),
+            What::Replaces { old } => self.replace(old),
+            What::Leaves { server } => self.servers[server].down = true,
+            What::Kills { node } => self.kill(node),
+        }
+    }
+
+    /// The second of the day, once it has begun.
+    fn second(&self, at: Time) -> Option<usize> {
+        let second = self.day_s(at);
+        (second >= 0.0).then_some(second as usize)
+    }
+}
--- a/crates/fleet/tests/days.rs
+++ b/crates/fleet/tests/days.rs
@@ -29,7 +29,7 @@
 
 /// Calls off what nothing answers, so that reads at hung caches are served elsewhere: 0.934 and 0.936 without.
 #[test_case(hang(), 0.96; "a fifth of the caches hangs")]
-/// Knows a zone that is lost by a few of its caches: 0.958 and 0.962 without.
+/// 0.958 and 0.962 with the text before all of this.
 #[test_case(lost(), 0.966; "a zone is lost and comes back cold")]
 /// Few keys have none but cold candidates: 0.900 without, at seed 11.
 #[test_case(replaced(), 0.92; "six in ten caches are replaced")]
@@ -41,8 +41,19 @@
     }
 }
 
+/// A node knows a zone that is cut off by three of its caches, and leaves the rest of them alone: 0.20 and 0.18 shots a
+/// call are lost there without.
+#[test]
+fn a_cut_zone_costs_each_node_a_few_shots() {
+    for seed in [11, 12] {
+        let came = day(Policy::Module, vec![Fault::new(Kind::ZoneCut, 4.0, 9.0)], seed);
+        let lost = came.per_call(came.unreachable + came.recalled);
+        assert!(lost < 0.1, "seed {seed}: {lost:.3}");
+    }
+}
+
 /// The share of shots turned away grows with the fleet, since each node knows less of each cache. 1.54 times as many at
-/// 300 nodes as at 20 with 1,024 slots, five for each cache, and 1.37 with 8,192; the aim is 1.3.
+/// 300 nodes as at 20 with 1,024 slots, five for each cache, and 1.33 to 1.37 with 8,192; the aim is 1.3.
 #[test]
 fn a_large_fleet_is_turned_away_little_more_than_a_small_one() {
     let share = |nodes, caches| {
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -83,11 +83,12 @@
     pub(super) fn has_room(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let open = &self.open[&id];
         let Some(c) = self.caches.get(&cache) else { return false };
-        // Only what may run again is risked on a cache that fails.
+        // Only what may run again is risked on a cache that fails, or in a zone that is silent.
         let tried = |at| at <= now && c.limit.in_flight < 1.0 && self.effect(open) == Effect::Idempotent;
         let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
         let fetch_fits = || self.fetches.has_room(now) || self.fetch_odds(now, &open.call, cache) == 0.0;
-        let zone = c.is_origin || self.zones.may_try(now, c.listing.zone);
+        let risks = self.effect(open) == Effect::Idempotent && self.zones.may_try(now, c.listing.zone);
+        let zone = c.is_origin || risks || !self.zones.is_silent(c.listing.zone);
         !barred
             && zone
             && (!open.over_quota || self.spare.has_room(now))
@@ -188,7 +189,7 @@
         self.spare.in_flight += if over_quota { 1.0 } else { 0.0 };
         c.usage.step_by(now, 1.0);
         self.sent.add(now, if origin { 0.0 } else { work });
-        self.zones.tried(now, c.listing.zone);
+        (!origin).then(|| self.zones.tried(now, c.listing.zone));
         c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
         self.alarms.insert((now + self.product(call.product).slo.scaled(SLOW_SHARE), id));
         Shot { api_call: id, cache, give_up_after: end - now }
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -105,13 +105,16 @@
         c.usage.step_by(now, -1.0);
         match outcome {
             Outcome::Unreachable if !origin => self.zones.unanswered(now, c.listing.zone, sent.cache),
-            Outcome::TimedOut | Outcome::Recalled if !origin && latency >= least && !overtaken => {
+            // A through cache that waits for the origin tells nothing of its zone.
+            Outcome::TimedOut | Outcome::Recalled if origin || overtaken || sent.fetch > 0.0 => {}
+            Outcome::TimedOut | Outcome::Recalled if latency >= least => {
                 self.zones.unanswered(now, c.listing.zone, sent.cache);
             }
             Outcome::TimedOut | Outcome::Recalled | Outcome::Moot | Outcome::Unreachable => {}
             _ => {
-                self.zones.heard(now, c.listing.zone);
                 c.heard = now;
+                // The origin's place is no sign of the caches there.
+                (!origin).then(|| self.zones.heard(now, c.listing.zone));
             }
         }
         if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot) {
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -47,8 +47,10 @@
 
     /// Keeps the ranks of a slot that is in use.
     pub fn use_slot(&mut self, slot: u64) {
-        let ranks = self.ranks(slot);
-        self.ranked.insert(slot, ranks);
+        if !self.ranked.contains_key(&slot) {
+            let ranks = self.ranks(slot);
+            self.ranked.insert(slot, ranks);
+        }
     }
 
     /// The caches of highest rank in a slot, the first one first.
