Answers past the SLO are sought where they are worth something

The settings' TardyBilledValue was not read.

Change: worth_end, the client timeout where late is worth something, stands for the SLO's end in place, advance and is_silent.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -175,6 +175,8 @@
     effect: String,
     latency_slo_us: u64,
     #[serde(default)]
+    tardy_billed_value: f64,
+    #[serde(default)]
     window_us: u64,
 }
 
@@ -259,6 +261,7 @@
     Product {
         slo: Span(params.latency_slo_us),
         billed_value: params.billed_value,
+        late_value: params.tardy_billed_value,
         effect: match params.effect.as_str() {
             "read_like" => Effect::Idempotent,
             "idempotency_key" => Effect::Deduplicated { scope, window: Span(params.window_us) },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -248,6 +248,7 @@
             call,
             rank,
             slo_end: now + slo,
+            worth_end: now + if product.late_value > 0.0 { call.budget } else { slo },
             end: now + call.budget,
             patience_end: now + slo.scaled(PATIENCE),
             shots: Vec::new(),
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -12,7 +12,7 @@
         let possible =
             |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
         let barred = open.may_have_run.is_some() && !self.caches.values().any(possible);
-        if now + typical > open.slo_end || barred || open.shots.len() >= self.settings.max_shots as usize {
+        if now + typical > open.worth_end || barred || open.shots.len() >= self.settings.max_shots as usize {
             self.give_up(id);
             return None;
         }
@@ -21,18 +21,20 @@
             waiting.push(id);
             self.ready.remove(&open.rank);
             // A joined call whose fetch drags on is given up at its SLO.
-            self.alarms.insert((open.slo_end, id));
+            self.alarms.insert((open.worth_end, id));
             return None;
         }
         // A read that was turned away everywhere has its last shot where one more crowd can't be met.
+        let late = now + typical > open.slo_end;
         let last = !open.shots.is_empty() && open.shots.len() + 1 == self.settings.max_shots as usize;
-        let part = if asks_origin { 1.0 } else { SPARE_PART };
+        let part = if asks_origin && !late { 1.0 } else { SPARE_PART };
         let at_origin = (asks_origin || last).then(|| self.free_origin(now, id, part)).flatten();
         let target = match at_origin.or_else(|| self.best_candidate(now, id).filter(|_| !asks_origin)) {
             None if self.all_fail(now, id) => self.free_origin(now, id, 1.0),
             found => found,
         };
-        if target.is_none() && now >= self.open[&id].patience_end && self.open[&id].shots.is_empty() {
+        if target.is_none() && (late || now >= self.open[&id].patience_end && self.open[&id].shots.is_empty())
+        {
             self.give_up(id);
         }
         Some(self.send(now, id, target?))
--- a/src/brain/ending.rs
+++ b/src/brain/ending.rs
@@ -66,7 +66,7 @@
     fn is_silent(&self, now: Time, id: ApiCallId, shot: &Sent) -> bool {
         let typical = Span::from_secs_f64(self.latency(now, shot.call.product, false));
         let elsewhere = |c: CacheId| c != shot.cache && self.has_room(now, id, c);
-        let in_time = now + typical <= self.open[&id].slo_end;
+        let in_time = now + typical <= self.open[&id].worth_end;
         if self.settings.mode == Mode::Through
             || !in_time
             || !self.ranked(shot.call.key).into_iter().any(elsewhere)
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -44,7 +44,7 @@
             let Some(open) = self.open.get(&id) else { continue };
             if at >= open.end {
                 self.answer(id, Answer::Errored);
-            } else if at >= open.slo_end && open.first_out().is_none() {
+            } else if at >= open.worth_end && open.first_out().is_none() {
                 self.give_up(id);
             } else {
                 self.call_off_lost(now, id);
--- a/src/open_call.rs
+++ b/src/open_call.rs
@@ -20,6 +20,8 @@
     pub call: ApiCall,
     pub rank: (u64, u64),
     pub slo_end: Time,
+    /// Until when an answer is worth anything.
+    pub worth_end: Time,
     pub end: Time,
     pub patience_end: Time,
     pub shots: Vec<Sent>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -52,6 +52,8 @@
 pub struct Product {
     pub slo: Span,
     pub billed_value: f64,
+    /// The part of it that an answer after the SLO is worth.
+    pub late_value: f64,
     pub effect: Effect,
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -400,6 +400,7 @@
                 stage.settings.products.push(Product {
                     slo: span(number(rest, "slo", 600.0)),
                     billed_value: number(rest, "value", 1.0),
+                    late_value: number(rest, "late", 0.0),
                     effect: effect(rest[1]),
                 });
             }
@@ -439,6 +440,7 @@
 #[test_case(scenario!("generations"); "generations")]
 #[test_case(scenario!("heavy"); "heavy")]
 #[test_case(scenario!("hopeless"); "hopeless")]
+#[test_case(scenario!("late"); "late")]
 #[test_case(scenario!("fetches"); "fetches")]
 #[test_case(scenario!("odds"); "odds")]
 #[test_case(scenario!("tightest"); "tightest")]
