Caches that fetch by themselves and live sizes taken out: no deployment left has them

Gone: Mode, the limit on likely fetches and its odds, silence of through caches, slow errors as the origin's, keys' last holder, parts by listed load, the outcome Fetched; seven scenarios and one experiment that caused only their failures; the emulator's fetching caches. Scenarios that used through for convenience play aside now; `effects` asks caches, since writes go to the origin, and `drains` no longer joins a likely fetch.

Settings that ask for either end with a fault that names the key (Specifics.Mode, WeightKind); OriginKind has to be a place.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -97,7 +97,7 @@
             }
             5 => brain.client_left(now, ApiCallId(record.u64(4))),
             6 => {
-                let Some(outcome) = outcome(record.u8(19), record.u8(25)) else {
+                let Some(outcome) = outcome(record.u8(19)) else {
                     return Err(Malformed(format!(
                         "record {}: unknown outcome {}",
                         record.at,
@@ -186,9 +186,8 @@
     }
 }
 
-fn outcome(code: u8, note: u8) -> Option<Outcome> {
+fn outcome(code: u8) -> Option<Outcome> {
     Some(match code {
-        0 if note == 2 => Outcome::Fetched,
         0 => Outcome::Fulfilled,
         1 => Outcome::Recalled,
         4 => Outcome::TimedOut,
--- a/crates/fleet/src/world/mod.rs
+++ b/crates/fleet/src/world/mod.rs
@@ -10,7 +10,7 @@
 
 use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
 use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, ZoneId};
-use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::settings::{DedupScope, Effect, Product, Settings};
 use granitelb::units::{Span, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -90,11 +90,11 @@
 
 /// What every node is told of the site.
 fn settings(play: &Play) -> Settings {
-    let product = |billed_value, effect| Product { slo: SLO, billed_value, effect };
+    let product = |billed_value, effect| Product { slo: SLO, billed_value, late_value: 0.0, effect };
     let window = Span::from_millis(3000);
     let dropped = Effect::Deduplicated { scope: DedupScope::All, window };
     Settings {
-        mode: Mode::Aside { origin: KindId(1) },
+        origin: KindId(1),
         products: vec![product(1.0, Effect::Idempotent), product(2.0, dropped)],
         nodes: play.nodes as f64,
         list_on_request: false,
@@ -109,7 +109,6 @@
         max_come_back: Span::from_millis(1500),
         value_by_work: true,
         steady_sizes: false,
-        live_sizes: false,
     }
 }
 
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -13,7 +13,7 @@
 
 pub use faults::{Fault, FaultKind, Spoil, Toward};
 pub use load::{Clients, Load, Phase, Product, ProductEffect};
-pub use parts::{CacheForm, Expect, Mode, OriginForm, WorldForm};
+pub use parts::{CacheForm, Expect, OriginForm, WorldForm};
 
 /// An experiment as its file words it.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/lab/src/experiment/parts.rs
+++ b/crates/lab/src/experiment/parts.rs
@@ -2,22 +2,10 @@
 
 use serde::Deserialize;
 
-/// Who fetches what a cache lacks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Mode {
-    /// The node: caches only store.
-    #[default]
-    Aside,
-    /// The cache itself.
-    Through,
-}
-
 /// What stands in the world.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WorldForm {
-    pub mode: Mode,
     pub nodes: usize,
     pub caches: usize,
     /// Caches stand in these in turn.
@@ -37,7 +25,6 @@
 impl Default for WorldForm {
     fn default() -> WorldForm {
         WorldForm {
-            mode: Mode::Aside,
             nodes: 2,
             caches: 6,
             zones: vec!["a".into(), "b".into()],
--- a/crates/lab/src/world/cache.rs
+++ b/crates/lab/src/world/cache.rs
@@ -1,6 +1,5 @@
 //! Cache boxes: a seat is an address in the world, a box is what stands there now.
 
-use std::collections::HashMap;
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -16,14 +15,11 @@
 use super::origin::{Origin, Recorded, answer_or_spoil};
 use super::wire::{self, Call};
 use crate::book::{BoxId, Event, Moment, Scribe, ShotEnd, Version};
-use crate::experiment::{CacheForm, Mode, Spoil};
+use crate::experiment::{CacheForm, Spoil};
 
 /// A box that fell over is back after this, cold.
 const FALLEN: Duration = Duration::from_secs(3);
 
-/// What a fetch came to, once it has come to something.
-type Fetched = Option<Result<Version, ()>>;
-
 /// What stands at a seat until it goes or loses its memory.
 struct Standing {
     id: BoxId,
@@ -45,8 +41,6 @@
     pub hung: watch::Sender<bool>,
     slowed: AtomicU64,
     pub spoil: Mutex<Option<(f64, Spoil)>>,
-    /// Keys whose fetch a through box has out.
-    fetching: Mutex<HashMap<u64, watch::Receiver<Fetched>>>,
 }
 
 impl Standing {
@@ -90,7 +84,6 @@
             hung: watch::Sender::new(false),
             slowed: AtomicU64::new(1000),
             spoil: Mutex::default(),
-            fetching: Mutex::default(),
         }
     }
 
@@ -171,11 +164,9 @@
         let _ = self.hung.subscribe().wait_for(|hung| !hung).await;
         let spoil = *self.spoil.lock().expect("no holder panics");
         let held = standing.values.lock().expect("no holder panics").get(&call.key).copied();
-        match (held, self.origin.mode) {
-            (Some(version), _) if !call.write => {
-                answer_or_spoil(spoil, &peer, &call, version, "hit", shot).await
-            }
-            (_, Mode::Aside) => {
+        match held {
+            Some(version) if !call.write => answer_or_spoil(spoil, &peer, &call, version, "hit", shot).await,
+            _ => {
                 // A write that comes here by mistake does not run: the origin takes writes.
                 if !call.write {
                     self.origin.note_missed(&call.id, &self);
@@ -183,47 +174,9 @@
                 shot.end(ShotEnd::Lacked);
                 Ok(wire::plain(404))
             }
-            (_, Mode::Through) => {
-                let fetched = if call.write {
-                    self.origin.write(&call).await.map_err(|_| ())
-                } else {
-                    self.fetch(&standing, &call).await
-                };
-                match fetched {
-                    Ok(version) => answer_or_spoil(spoil, &peer, &call, version, "miss", shot).await,
-                    Err(()) => {
-                        shot.end(ShotEnd::Failed);
-                        Ok(wire::plain(500))
-                    }
-                }
-            }
         }
     }
 
-    /// Has the origin's value, by the fetch that is out for the key or one of its own.
-    async fn fetch(self: &Arc<Self>, standing: &Arc<Standing>, call: &Call) -> Result<Version, ()> {
-        let known = self.fetching.lock().expect("no holder panics").get(&call.key).cloned();
-        let mut result = known.unwrap_or_else(|| {
-            let (sender, receiver) = watch::channel(None);
-            self.fetching.lock().expect("no holder panics").insert(call.key, receiver.clone());
-            // It goes on though whoever asked for it leaves.
-            let (seat, standing, key, id) = (self.clone(), standing.clone(), call.key, call.id.clone());
-            tokio::spawn(async move {
-                let version = seat.origin.read(key, &id).await.map_err(|_| ());
-                if let Ok(version) = version
-                    && version == seat.origin.version(key)
-                {
-                    standing.values.lock().expect("no holder panics").put(key, version);
-                }
-                seat.fetching.lock().expect("no holder panics").remove(&key);
-                sender.send_replace(Some(version));
-            });
-            receiver
-        });
-        let heard = result.wait_for(Option::is_some).await;
-        heard.map_err(|_| ())?.unwrap_or(Err(()))
-    }
-
     /// Weighs what a cold box is sent; too much pushes it over.
     fn weigh(self: &Arc<Self>, standing: &Arc<Standing>) {
         let now = self.scribe.now();
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -143,7 +143,7 @@
         let form = &experiment.world;
         let nodes = 0..form.nodes;
         let origin_id = note_server(&scribe, "origin".into(), None, None);
-        let origin = Arc::new(Origin::new(origin_id, form.mode, form.origin.clone(), scribe.clone()));
+        let origin = Arc::new(Origin::new(origin_id, form.origin.clone(), scribe.clone()));
         let mut origin_doors = Vec::new();
         for node in nodes.clone() {
             let ip = address(number, node, ORIGIN_AT);
--- a/crates/lab/src/world/node.rs
+++ b/crates/lab/src/world/node.rs
@@ -12,7 +12,7 @@
 use tokio::process::{Child, Command};
 
 use crate::book::{Event, NodeId, Scribe, Usage};
-use crate::experiment::{Experiment, Mode, ProductEffect};
+use crate::experiment::{Experiment, ProductEffect};
 
 /// A node that is not ready by then is not going to be.
 const READY: Duration = Duration::from_secs(8);
@@ -62,14 +62,13 @@
             "WindowUs": (world.origin.repeats_s * 1e6) as u64, "LatencySloUs": p.slo_ms * 1000,
             "ClientTimeoutUs": p.timeout_ms * 1000, "BilledValue": p.value})
     };
-    let mode = if world.mode == Mode::Aside { "aside" } else { "through" };
     json!({
         "name": format!("node-{}", node.0), "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{:x}", seed ^ (node.0 as u64 + 1)),
         "limits": {"cores": 1.0, "memory_mb": world.memory_mb, "sockets": world.sockets},
         "settings": {
             "Discovery": "ask", "Siblings": world.nodes, "Zones": world.zones, "Shapes": ["plain", "origin"],
-            "Specifics": {"Mode": mode, "OriginKind": 1},
+            "Specifics": {"Mode": "aside", "OriginKind": 1},
             "Products": of.product.iter().map(product).collect::<Vec<_>>(),
             "Tenants": of.load.tenants.iter().map(|t| json!({"Name": t, "QuotaPerS": 1e6})).collect::<Vec<_>>(),
             "Bounds": {"MostShots": world.most_shots, "MayCancel": world.may_cancel,
--- a/crates/lab/src/world/origin.rs
+++ b/crates/lab/src/world/origin.rs
@@ -14,7 +14,7 @@
 use super::door::{Answers, Broken, Peer, Reply};
 use super::wire::{self, Call};
 use crate::book::{BoxId, Effect, Event, Fetch, Moment, Scribe, ShotEnd, Version};
-use crate::experiment::{Mode, OriginForm, Spoil};
+use crate::experiment::{OriginForm, Spoil};
 
 /// How long a cache that missed is remembered for the fetch that follows.
 const MISS_LASTS: i64 = 5_000_000;
@@ -24,7 +24,6 @@
 
 pub struct Origin {
     pub id: BoxId,
-    pub mode: Mode,
     form: OriginForm,
     scribe: Scribe,
     bench: Bench,
@@ -43,10 +42,9 @@
 }
 
 impl Origin {
-    pub fn new(id: BoxId, mode: Mode, form: OriginForm, scribe: Scribe) -> Origin {
+    pub fn new(id: BoxId, form: OriginForm, scribe: Scribe) -> Origin {
         Origin {
             id,
-            mode,
             bench: Bench::new(form.cores, form.queue),
             asked: Window::new(Duration::from_secs(1)),
             slowed: AtomicU64::new(1000),
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -48,7 +48,6 @@
 #[test_case("resets-after-writes")]
 #[test_case("rolling-replacement")]
 #[test_case("bad-clients")]
-#[test_case("silent-through")]
 #[test_case("discovery-silent-and-moved")]
 #[test_case("origin-stops")]
 #[test_case("late-and-narrow-links")]
--- a/crates/node/src/routing/outcome.rs
+++ b/crates/node/src/routing/outcome.rs
@@ -19,7 +19,7 @@
         match self {
             ShotFate::Answered(message) => {
                 let outcome = of_answer(&message);
-                let fulfilled = matches!(outcome, Outcome::Fulfilled | Outcome::Fetched);
+                let fulfilled = outcome == Outcome::Fulfilled;
                 (outcome, fulfilled.then_some(message))
             }
             ShotFate::Lost { end, whole } => (of_end(end, whole), None),
@@ -28,10 +28,8 @@
 }
 
 fn of_answer(answer: &Message) -> Outcome {
-    let word = answer.head.text("x-cache-status").unwrap_or_default();
     let unseen = answer.head.text("x-not-processed") == Some("1");
     match answer.head.status {
-        200 if word.eq_ignore_ascii_case("miss") => Outcome::Fetched,
         200 => Outcome::Fulfilled,
         404 => Outcome::Lacking,
         503 | 504 if unseen => Outcome::Full,
--- a/crates/node/src/routing/tally.rs
+++ b/crates/node/src/routing/tally.rs
@@ -30,7 +30,6 @@
     pub fn count_shot(&mut self, outcome: Outcome) {
         let word = match outcome {
             Outcome::Fulfilled => "fulfilled",
-            Outcome::Fetched => "fetched",
             Outcome::Lacking => "lacking",
             Outcome::Full => "full",
             Outcome::Unreachable => "unreachable",
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -7,7 +7,7 @@
 use granitelb::brain::Brain;
 use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
 use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, ZoneId};
-use granitelb::settings::{Effect, Mode, Product, Settings as ModuleSettings};
+use granitelb::settings::{Effect, Product, Settings as ModuleSettings};
 use granitelb::units::{Span, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -131,8 +131,8 @@
 
 fn module_settings(play: &Play) -> ModuleSettings {
     ModuleSettings {
-        mode: Mode::Aside { origin: KindId(1) },
-        products: vec![Product { slo: SLO, billed_value: 1.0, effect: Effect::Idempotent }],
+        origin: KindId(1),
+        products: vec![Product { slo: SLO, billed_value: 1.0, late_value: 0.0, effect: Effect::Idempotent }],
         nodes: play.forwarders as f64,
         list_on_request: false,
         must_ask_in: Span::from_millis(10_000),
@@ -146,7 +146,6 @@
         max_come_back: Span::from_millis(1500),
         value_by_work: false,
         steady_sizes: false,
-        live_sizes: false,
     }
 }
 
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -42,7 +42,7 @@
         let seen = self.of(cache);
         seen.out = (seen.out - 1.0).max(0.0);
         match outcome {
-            Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => seen.answered += 1.0,
+            Outcome::Fulfilled | Outcome::Lacking | Outcome::Full => seen.answered += 1.0,
             // What was never sent says nothing, and one called off may have been slow: who calls off says more.
             Outcome::Moot | Outcome::Recalled => {}
             Outcome::Unreachable | Outcome::TimedOut | Outcome::Errored | Outcome::Reset => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,7 @@
 
 use granitelb::calls::Report;
 use granitelb::ids::KindId;
-use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::settings::{DedupScope, Effect, Product, Settings};
 use granitelb::units::Span;
 use serde::Deserialize;
 
@@ -213,15 +213,24 @@
 
 pub fn decode(text: &[u8]) -> Result<Decoded, Fault> {
     let params: Params = read(text)?;
-    let origin = u16::try_from(params.specifics.origin_kind).ok().map(KindId);
-    let mode = match (params.specifics.mode.as_str(), origin) {
-        ("aside", Some(origin)) => Mode::Aside { origin },
-        _ => Mode::Through,
-    };
+    let specifics = &params.specifics;
+    if specifics.mode != "aside" {
+        let trouble =
+            format!("{:?}: caches that fetch by themselves are not served, only \"aside\"", specifics.mode);
+        return Err(Fault { key: "Specifics.Mode".into(), trouble });
+    }
+    let origin = u16::try_from(specifics.origin_kind).map_err(|_| Fault {
+        key: "Specifics.OriginKind".into(),
+        trouble: format!("{} is no place in Shapes", specifics.origin_kind),
+    })?;
+    if params.weight_kind == "live" {
+        let trouble = "sizes that follow the load are not served; load comes with reports".into();
+        return Err(Fault { key: "WeightKind".into(), trouble });
+    }
     let bounds = params.bounds;
     let rules = params.rules;
     let decisions = Settings {
-        mode,
+        origin: KindId(origin),
         products: params.products.iter().map(product).collect(),
         nodes: f64::from(params.siblings.max(1)),
         list_on_request: params.discovery == "ask",
@@ -235,7 +244,6 @@
         may_recall: bounds.may_cancel,
         max_come_back: Span(if bounds.retry_after { bounds.max_retry_after_us } else { 0 }),
         value_by_work: params.billed_value_per == "work",
-        live_sizes: params.weight_kind == "live",
         steady_sizes: matches!(params.weight_kind.as_str(), "nominal" | "rough"),
     };
     Ok(Decoded {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,9 +17,9 @@
 use crate::calls::{Advice, Answer, ApiCall, Listing, Outcome, Report, Shot, ShotEnd};
 use crate::chance::{hash_of, unit};
 use crate::decay::{FadingLevel, FadingMean, FadingSum};
-use crate::ids::{ApiCallId, CacheId, Key, KindId, ProductId, ShotNumber};
+use crate::ids::{ApiCallId, CacheId, Key, ProductId, ShotNumber};
 use crate::open_call::{Open, Sent};
-use crate::settings::{DedupScope, Effect, Mode, Product, Settings};
+use crate::settings::{DedupScope, Effect, Product, Settings};
 use crate::slots::SlotTable;
 use crate::units::{Span, Time};
 use crate::zones::Zones;
@@ -41,9 +41,6 @@
 const PUSH_KEPT: f64 = 0.5;
 const PUSH_STEEPNESS: f64 = 1.0;
 const PUSH_TARGET: f64 = 0.9;
-/// A cache's part of its keys is cut so at a step while its listed load means a late answer, and grows else.
-const PART_CUT: f64 = 0.9;
-const PART_GROWS: f64 = 0.025;
 const LEARNING_STEP: Span = Span::from_millis(250);
 /// Keys with stored weights; past it the half that was asked for least of late goes.
 const MAX_KEYS: usize = 4096;
@@ -81,9 +78,7 @@
 const SILENCE_SHARE: f64 = 0.5;
 /// Nor does one that has not been out for so many times its own work: a large one behind two others takes that long.
 const PATIENT_WORK: f64 = 8.0;
-/// So many shots at a through cache that are out for long, with nothing heard from it since, tell that it is silent;
-/// unless more than a minority of the caches keep some so: then it is the origin that keeps them.
-const SILENT_SHOTS: u32 = 3;
+/// Advice leaves out so great a part of the caches at the most.
 const MINORITY: f64 = 0.34;
 /// Cold caches are sent at most so many times what warm size carried of late, where calls ask for more.
 const COLD_GROWS: f64 = 1.5;
@@ -101,7 +96,6 @@
 struct Limit {
     in_flight: f64,
     most: f64,
-    least: f64,
     last_cut: Time,
     rest_until: Time,
 }
@@ -118,15 +112,12 @@
     /// While cold: work saved up for it and when, and the share of a call's that the next one takes.
     saved: (f64, Time),
     draw: f64,
-    /// The part of its keys that it may take, by its listed load.
-    part: f64,
     push: f64,
     /// The quickest answer of late, and when the last of the shots was sent that were answered soon.
     quickest: Span,
     overtook: Time,
-    /// When anything was heard from it last, and how many shots have been out for long since.
+    /// When anything was heard from it last.
     heard: Time,
-    silent: u32,
     /// What it reported of its load last, and when.
     told: Option<(Time, Report)>,
 }
@@ -136,8 +127,6 @@
     slot: u64,
     slots: [Option<(CacheId, f64)>; CANDIDATES],
     asked: FadingSum,
-    /// The cache that answered last, and so holds it unless it was voided or dropped.
-    held_by: Option<CacheId>,
 }
 
 pub struct Brain {
@@ -160,14 +149,9 @@
     fetching: HashMap<Key, (ApiCallId, Vec<ApiCallId>)>,
     /// Every shot whose end was not heard yet, also of calls that have ended.
     out: HashMap<(ApiCallId, ShotNumber), Sent>,
-    /// Fetches that through caches are held to make for this node's calls.
-    fetches: Limit,
-    /// How often a shot that might make a through cache fetch did so of late.
-    fetch_odds: FadingMean,
     answers: VecDeque<(ApiCallId, Answer)>,
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
-    nominal: BTreeMap<KindId, f64>,
     reask: Option<(Time, Span)>,
     /// Work sent to caches in the fall window, and its part for each unit of warm size over a warm-up's time.
     sent: FadingSum,
@@ -190,8 +174,6 @@
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
             latencies: settings.products.iter().map(latencies).collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
-            fetch_odds: FadingMean::new(USAGE_MEMORY, now, 1.0),
-            fetches: Limit::new(settings.nodes, MIN_LIMIT, now),
             settings,
             seed,
             chances: 0,
@@ -209,7 +191,6 @@
             answers: VecDeque::new(),
             recalls: VecDeque::new(),
             calls_seen: 0,
-            nominal: BTreeMap::new(),
             zones: Zones::default(),
             now,
         }
@@ -272,10 +253,7 @@
         self.heard(now);
         let ShotEnd { number, cache, outcome, latency, answered } = *end;
         let Some(sent) = self.out.remove(&(id, number)).filter(|s| s.cache == cache) else { return };
-        // An error slower than a hit tells of a fetch behind the cache.
-        let slower = latency.as_secs_f64() > self.latency(now, sent.call.product, false);
-        let fetch_failed = self.settings.mode == Mode::Through && outcome == Outcome::Errored && slower;
-        self.judge(now, &sent, outcome, latency, fetch_failed);
+        self.judge(now, &sent, outcome, latency);
         let (origin, lost) = (self.is_origin(cache), self.is_overtaken(&sent));
         let Some(open) = self.open.get_mut(&id) else { return };
         open.shots.iter_mut().skip(number.0 as usize).take(1).for_each(|shot| shot.out = false);
@@ -290,9 +268,6 @@
         self.release_joined(id);
         if answered {
             self.close(id);
-        } else if fetch_failed {
-            // Another cache would only ask the origin, which is in trouble, once more.
-            self.give_up(id);
         } else if self.open.get(&id).is_some_and(|o| o.first_out().is_none()) {
             self.set_waiting(id);
         }
--- a/src/brain/caches.rs
+++ b/src/brain/caches.rs
@@ -3,26 +3,19 @@
 use super::*;
 
 impl Limit {
-    pub(super) fn new(nodes: f64, least: f64, now: Time) -> Limit {
-        Limit { in_flight: 0.0, most: (FIRST_LIMIT / nodes).max(1.0), least, last_cut: now, rest_until: now }
+    pub(super) fn new(nodes: f64, now: Time) -> Limit {
+        Limit { in_flight: 0.0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now, rest_until: now }
     }
 
     pub(super) fn has_room(&self, now: Time) -> bool {
         now >= self.rest_until && self.in_flight < self.most.max(1.0)
     }
 
-    /// One that counted so much ended after `latency`, having met a crowd, none, or neither. `service` is how
-    /// long one should take, give or take by chance.
-    pub(super) fn learn(
-        &mut self,
-        now: Time,
-        latency: Span,
-        crowded: Option<bool>,
-        service: Span,
-        counted: f64,
-    ) {
+    /// A shot ended after `latency`, having met a crowd, none, or neither. `service` is how long one takes, give
+    /// or take by chance.
+    pub(super) fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span) {
         let filled = self.in_flight >= self.most * 0.5;
-        self.in_flight -= counted;
+        self.in_flight -= 1.0;
         match crowded {
             Some(true) => self.cut(now, latency),
             Some(false) if filled => self.most += (self.most * LIMIT_GROWS).min(1.0 / self.most),
@@ -36,7 +29,7 @@
     /// One cut for one crowd: only shots sent after the last cut tell of the limit it set.
     pub(super) fn cut(&mut self, now: Time, latency: Span) {
         if now - self.last_cut >= latency {
-            self.most = (self.most * LIMIT_CUT).max(self.least);
+            self.most = (self.most * LIMIT_CUT).max(MIN_LIMIT);
             self.last_cut = now;
         }
     }
@@ -49,22 +42,20 @@
     }
 
     pub(super) fn new(listing: Listing, settings: &Settings, draw: f64, now: Time) -> Cache {
-        let is_origin = matches!(settings.mode, Mode::Aside { origin } if origin == listing.kind);
+        let is_origin = listing.kind == settings.origin;
         Cache {
             listing,
             is_origin,
             outcomes: ALL_GOOD,
             trial: None,
-            limit: Limit::new(settings.nodes, MIN_LIMIT, now),
+            limit: Limit::new(settings.nodes, now),
             usage: FadingLevel::new(USAGE_MEMORY, now),
             saved: (0.0, now),
             draw,
-            part: 1.0,
             push: 0.0,
             quickest: Span(1 << 40),
             overtook: now,
             heard: now,
-            silent: 0,
             told: None,
         }
     }
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -6,7 +6,7 @@
     /// The shot for a call that waits, if one can be sent; else it may be given up or go on waiting.
     pub(super) fn place(&mut self, now: Time, id: ApiCallId) -> Option<Shot> {
         let open = self.open.get(&id)?;
-        let asks_origin = self.settings.mode != Mode::Through && (open.call.write || open.lacking);
+        let asks_origin = open.call.write || open.lacking;
         let typical = Span::from_secs_f64(self.latency(now, open.call.product, asks_origin));
         // Nothing can come of a call that may have run and must not run twice: it is not sat upon.
         let possible =
@@ -54,11 +54,8 @@
     /// The candidate of highest weight that may be sent to.
     fn best_candidate(&self, now: Time, id: ApiCallId) -> Option<CacheId> {
         let key = self.open[&id].call.key;
-        // A crowded cache takes a part of its keys, not the same at each node, so that a heavy key is shared out.
-        let takes = |c: &&Cache| unit(hash_of((key, c.listing.cache, self.seed))) < c.part;
-        let ranked = self.ranked(key).into_iter().filter_map(|c| self.caches.get(&c));
-        let mut open = ranked.filter(takes).map(|c| c.listing.cache);
-        open.find(|c| self.is_free(now, id, *c))
+        let ranked = self.ranked(key).into_iter().filter(|c| self.caches.contains_key(c));
+        ranked.into_iter().find(|c| self.is_free(now, id, *c))
     }
 
     /// The origin, if this part of its in-flight limit has room.
@@ -88,18 +85,9 @@
         // Only what may run again is risked on a cache that fails, or in a zone that is silent.
         let tried = |at| at <= now && c.limit.in_flight < 1.0 && self.effect(open) == Effect::Idempotent;
         let barred = open.passed.contains(&cache) || c.trial.is_some_and(|(at, _)| !tried(at));
-        let fetch_fits = || self.fetches.has_room(now) || self.fetch_odds(now, &open.call, cache) == 0.0;
         let risks = self.effect(open) == Effect::Idempotent && self.zones.may_try(now, c.listing.zone);
         let zone = c.is_origin || risks || !self.zones.is_silent(c.listing.zone);
-        !barred && zone && c.limit.has_room(now) && fetch_fits()
-    }
-
-    /// How likely a through cache will have to ask the origin. With many nodes it mostly holds what another
-    /// asked for: counted as fetches in full, hits would be refused whenever the origin has no room.
-    fn fetch_odds(&self, now: Time, call: &ApiCall, cache: CacheId) -> f64 {
-        let held = || self.keys.get(&call.key).is_some_and(|k| k.held_by == Some(cache));
-        let possible = self.settings.mode == Mode::Through && (call.write || !held());
-        if possible { self.fetch_odds.read(now) } else { 0.0 }
+        !barred && zone && c.limit.has_room(now)
     }
 
     /// The present share of its capacity that a cache has at least.
@@ -169,21 +157,19 @@
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let origin = self.is_origin(cache);
         let work = self.work_of(now, &self.open[&id].call);
-        let fetch = self.fetch_odds(now, &self.open[&id].call, cache);
         let open = self.open.get_mut(&id).expect("placed calls are open");
         let (call, end) = (open.call, open.end);
-        let sent = Sent { call, cache, at: now, out: true, fetch };
+        let sent = Sent { call, cache, at: now, out: true };
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
         open.shots.push(sent);
         self.ready.remove(&open.rank);
-        if (origin || fetch > 0.0) && !open.call.write {
+        if origin && !open.call.write {
             self.fetching.entry(open.call.key).or_insert((id, Vec::new()));
         }
         let (draw, saved) = (self.chance(), self.cold_savings(now, &self.caches[&cache], work) - work);
         let c = self.caches.get_mut(&cache).expect("candidates are listed");
         (c.draw, c.saved) = (draw, (saved, now));
         c.limit.in_flight += 1.0;
-        self.fetches.in_flight += fetch;
         c.usage.step_by(now, 1.0);
         self.sent.add(now, if origin { 0.0 } else { work });
         (!origin).then(|| self.zones.tried(now, c.listing.zone));
--- a/src/brain/ending.rs
+++ b/src/brain/ending.rs
@@ -36,41 +36,20 @@
             return;
         };
         let shot = open.shots[n];
-        if self.is_overtaken(&shot) || self.note_silence(now, &shot) || self.is_silent(now, id, &shot) {
+        if self.is_overtaken(&shot) || self.is_silent(now, id, &shot) {
             self.recalls.push_back((id, ShotNumber(n as u8)));
         } else {
             self.alarms.insert((now + RECHECK.scaled(2.0), id));
         }
     }
 
-    /// Whether a through cache is silent, by a shot that has been out for long: it says neither hits nor fetches,
-    /// and not for the origin's sake, since others do. Then it is out for all calls until a trial succeeds.
-    fn note_silence(&mut self, now: Time, shot: &Sent) -> bool {
-        let first = now < shot.at + self.product(shot.call.product).slo.scaled(SLOW_SHARE) + RECHECK;
-        let Some(c) = self.caches.get_mut(&shot.cache).filter(|c| c.heard < shot.at) else { return false };
-        c.silent += u32::from(first);
-        if self.settings.mode != Mode::Through || c.silent < SILENT_SHOTS {
-            return false;
-        }
-        let quiet = self.caches.values().filter(|c| c.silent > 0).count();
-        if quiet as f64 > (self.table.len() as f64 * MINORITY).max(1.0) {
-            return false;
-        }
-        let c = self.caches.get_mut(&shot.cache).expect("looked at above");
-        c.trial = c.trial.or(Some((now + FIRST_TRIAL, FIRST_TRIAL)));
-        true
-    }
-
-    /// Whether a shot aside has nothing to wait for, while its call has another candidate: its cache was not heard since,
+    /// Whether a shot has nothing to wait for, while its call has another candidate: its cache was not heard since,
     /// for long, or its zone is silent.
     fn is_silent(&self, now: Time, id: ApiCallId, shot: &Sent) -> bool {
         let typical = Span::from_secs_f64(self.latency(now, shot.call.product, false));
         let elsewhere = |c: CacheId| c != shot.cache && self.has_room(now, id, c);
         let in_time = now + typical <= self.open[&id].worth_end;
-        if self.settings.mode == Mode::Through
-            || !in_time
-            || !self.ranked(shot.call.key).into_iter().any(elsewhere)
-        {
+        if !in_time || !self.ranked(shot.call.key).into_iter().any(elsewhere) {
             return false;
         }
         let work = Span::from_secs_f64(self.work_of(now, &shot.call) * PATIENT_WORK);
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -10,7 +10,6 @@
             self.caches.values_mut().for_each(|c| c.listing.ready &= named.contains(&c.listing.cache));
         }
         for listing in listings {
-            self.nominal.entry(listing.kind).and_modify(|n| *n = n.max(listing.size)).or_insert(listing.size);
             let draw = self.chance();
             match self.caches.get_mut(&listing.cache) {
                 // A restart under the same id begins cold and with a clean slate.
@@ -58,17 +57,8 @@
     }
 
     /// Judges a cache by an outcome: its health, its in-flight limit, and how long answers take.
-    pub(super) fn judge(
-        &mut self,
-        now: Time,
-        sent: &Sent,
-        outcome: Outcome,
-        latency: Span,
-        fetch_failed: bool,
-    ) {
+    pub(super) fn judge(&mut self, now: Time, sent: &Sent, outcome: Outcome, latency: Span) {
         let (origin, chance) = (self.is_origin(sent.cache), self.chance());
-        // Every answer of the origin's own is a fetch.
-        let outcome = if origin && outcome == Outcome::Fetched { Outcome::Fulfilled } else { outcome };
         let slo = self.product(sent.call.product).slo;
         let service = Span::from_secs_f64(self.latency(now, sent.call.product, origin) * (0.5 + chance));
         // A slow cache's rest under one in flight goes by its own answers, or a crowd of quiet nodes never leaves it.
@@ -81,26 +71,7 @@
         let short = self.settings.tightest_slo().as_secs_f64() * SHORT_WAIT;
         let waits = self.told_wait(sent.cache).is_none_or(|wait| wait > short);
         let slow = latency > least.max(quickest.scaled(6.0).min(slo.scaled(0.7))) && waits;
-        if sent.fetch > 0.0 {
-            let crowded = match outcome {
-                Outcome::Fetched | Outcome::TimedOut => Some(slow),
-                Outcome::Errored => Some(true),
-                // A hit after all, for one, says nothing of the origin.
-                _ => None,
-            };
-            self.fetches.learn(now, latency, crowded, service, sent.fetch);
-            if crowded.is_some() || outcome == Outcome::Fulfilled {
-                self.fetch_odds.add(now, if crowded.is_some() { 1.0 } else { 0.0 });
-            }
-        }
-        if let Some(weights) = self.keys.get_mut(&sent.call.key) {
-            match outcome {
-                Outcome::Fulfilled | Outcome::Fetched if !origin => weights.held_by = Some(sent.cache),
-                Outcome::Errored | Outcome::Lacking | Outcome::TimedOut => weights.held_by = None,
-                _ => {}
-            }
-        }
-        // What came too late, or by a fetch, does not count: it would make every call look hopeless.
+        // What came too late does not count: it would make every call look hopeless.
         if outcome == Outcome::Fulfilled && latency <= slo {
             let mean = &mut self.latencies[sent.call.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
@@ -110,8 +81,7 @@
         c.usage.step_by(now, -1.0);
         match outcome {
             Outcome::Unreachable if !origin => self.zones.unanswered(now, c.listing.zone, sent.cache),
-            // A through cache that waits for the origin tells nothing of its zone.
-            Outcome::TimedOut | Outcome::Recalled if origin || overtaken || sent.fetch > 0.0 => {}
+            Outcome::TimedOut | Outcome::Recalled if origin || overtaken => {}
             Outcome::TimedOut | Outcome::Recalled if latency >= least => {
                 self.zones.unanswered(now, c.listing.zone, sent.cache);
             }
@@ -122,15 +92,11 @@
                 (!origin).then(|| self.zones.heard(now, c.listing.zone));
             }
         }
-        if !matches!(outcome, Outcome::TimedOut | Outcome::Recalled | Outcome::Moot) {
-            c.silent = 0;
-        }
         let answered = if outcome == Outcome::Fulfilled { latency } else { c.quickest };
         c.quickest = c.quickest.scaled(1.001).min(answered);
-        // Behind a through cache a fetch may keep one call longer than others.
-        let soon = !slow && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking);
-        let overtakes = soon && self.settings.mode != Mode::Through;
-        c.overtook = if overtakes { c.overtook.max(sent.at) } else { c.overtook };
+        if !slow && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking) {
+            c.overtook = c.overtook.max(sent.at);
+        }
         let crowded = match outcome {
             Outcome::Full | Outcome::Unreachable => Some(true),
             // Queues show in slow answers first; cut for silence, a cache that loses some would get no work.
@@ -140,21 +106,18 @@
             Outcome::Lacking if slow => Some(true),
             _ => None,
         };
-        c.limit.learn(now, latency, crowded, rest, 1.0);
+        c.limit.learn(now, latency, crowded, rest);
         if outcome == Outcome::Full {
             // Repeated at once, shots that are turned away would become a crowded cache's whole work.
             c.limit.rest_until = c.limit.rest_until.max(now + service);
         }
         let healthy = match outcome {
-            // The origin's trouble bars no cache: its hits are needed then more than ever.
-            Outcome::Errored if fetch_failed => return,
-            Outcome::TimedOut if sent.fetch > 0.0 => return,
-            // Nor does a shot whose client had little time left, or whose answer alone was lost.
+            // No sign is a shot whose client had little time left, or whose answer alone was lost.
             Outcome::TimedOut | Outcome::Recalled if overtaken || latency < slo.scaled(SILENCE_SHARE) => {
                 return;
             }
             Outcome::Moot => return,
-            Outcome::Fulfilled | Outcome::Fetched | Outcome::Lacking | Outcome::Full => true,
+            Outcome::Fulfilled | Outcome::Lacking | Outcome::Full => true,
             _ => false,
         };
         c.outcomes = (c.outcomes << 1 | u32::from(healthy)) & ALL_GOOD;
@@ -191,19 +154,6 @@
         if self.settings.steady_sizes { listing.size.max(1e-3) } else { 1.0 }
     }
 
-    /// The calls that a cache holds on each core, where the list lets that be told.
-    pub(super) fn held(&self, l: &Listing) -> f64 {
-        let nominal = self.nominal.get(&l.kind).filter(|_| self.settings.live_sizes);
-        nominal.map_or(0.0, |n| n / l.size.max(1e-6) - 1.0)
-    }
-
-    /// How long a call would wait at a cache by its listed load, in parts of the tightest SLO.
-    pub(super) fn listed_wait(&self, now: Time, c: &Cache) -> f64 {
-        let latencies = self.latencies.iter().map(|l| l[0].read(now));
-        self.held(&c.listing) * latencies.fold(f64::INFINITY, f64::min)
-            / self.settings.tightest_slo().as_secs_f64()
-    }
-
     /// How long a call waits at a cache by its last report, where that tells: by Little's law the calls held over
     /// the rate are the time that one is there.
     fn told_wait(&self, cache: CacheId) -> Option<f64> {
--- a/src/brain/learning.rs
+++ b/src/brain/learning.rs
@@ -10,10 +10,7 @@
         let size: f64 = self.caches.values().filter(|c| c.serves()).map(warm_size).sum();
         self.carried.add(now, self.sent.read(now) / size.max(1e-9));
         self.warm_size = size;
-        let usage = |c: &Cache| match self.settings.live_sizes {
-            true => self.held(&c.listing),
-            false => c.usage.read(now) / self.size_of(&c.listing),
-        };
+        let own = |c: &Cache| c.usage.read(now) / self.size_of(&c.listing);
         let serving = self.caches.values().filter(|c| c.serves());
         // What was reported, by size, and how much that still counts: old reports fade to the mean of all.
         let told = |c: &Cache, figure: fn(&Report) -> Option<f64>| {
@@ -28,14 +25,13 @@
             None if sums.1 > 0.0 => sums.0 / sums.1,
             // Who only waits is no load in flight: this node's part of it adds to its own.
             None => {
-                usage(c) + told(c, |r| r.waiting).map_or(0.0, |(w, counts)| w * counts / self.settings.nodes)
+                own(c) + told(c, |r| r.waiting).map_or(0.0, |(w, counts)| w * counts / self.settings.nodes)
             }
         };
-        let usages: Vec<_> = serving.map(|c| (c.listing.cache, usage(c), self.listed_wait(now, c))).collect();
+        let usages: Vec<_> = serving.map(|c| (c.listing.cache, usage(c))).collect();
         let mean = usages.iter().map(|u| u.1).sum::<f64>() / usages.len().max(1) as f64;
-        for (id, usage, wait) in usages {
+        for (id, usage) in usages {
             let cache = self.caches.get_mut(&id).expect("listed above");
-            cache.part = if wait > 1.0 { cache.part * PART_CUT } else { (cache.part + PART_GROWS).min(1.0) };
             cache.push = PUSH * (1.0 - if mean > 0.0 { usage / mean } else { 1.0 }) + PUSH_KEPT * cache.push;
         }
         let psi = |b: f64| (1.0 - (-PUSH_STEEPNESS * b).exp()) / (1.0 + (-PUSH_STEEPNESS * b).exp());
@@ -49,7 +45,7 @@
     /// Stores a key's weights and pulls them towards the candidates that rank high.
     pub(super) fn note_asked(&mut self, now: Time, call: &ApiCall) {
         self.asked.add(now, 1.0);
-        if call.write && self.settings.mode != Mode::Through {
+        if call.write {
             return;
         }
         self.wanted.add(now, self.work_of(now, call));
@@ -59,7 +55,7 @@
         self.table.use_slot(slot);
         let fresh = self.start_weights(call.key, slot);
         let asked = FadingSum::new(RATE_MEMORY, now);
-        let new = KeyWeights { table: self.table.version(), slot, slots: fresh, asked, held_by: None };
+        let new = KeyWeights { table: self.table.version(), slot, slots: fresh, asked };
         let weights = self.keys.entry(call.key).or_insert(new);
         if (weights.table, weights.slot) != (self.table.version(), slot) {
             let old = weights.slots;
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -65,8 +65,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Fulfilled,
-    /// Fulfilled after a fetch from the origin, where caches tell.
-    Fetched,
     /// The cache lacks the key.
     Lacking,
     /// Turned away unseen.
--- a/src/open_call.rs
+++ b/src/open_call.rs
@@ -11,8 +11,6 @@
     pub cache: CacheId,
     pub at: Time,
     pub out: bool,
-    /// How likely it was to make the cache fetch.
-    pub fetch: f64,
 }
 
 /// An API call without its final answer.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    pub mode: Mode,
+    /// The kind that the list names the origin by: a node asks it for what caches lack, and for writes.
+    pub origin: KindId,
     pub products: Vec<Product>,
     /// How many nodes there are, this one included.
     pub nodes: f64,
@@ -29,8 +30,6 @@
     pub value_by_work: bool,
     /// Whether listed sizes are capacities, not momentary figures.
     pub steady_sizes: bool,
-    /// Whether listed sizes fall with the load: size / (1 + calls held a core).
-    pub live_sizes: bool,
 }
 
 impl Settings {
@@ -40,14 +39,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// Caches fetch what they lack themselves.
-    Through,
-    /// Caches answer that they lack a key, and the node asks the origin, listed with this kind.
-    Aside { origin: KindId },
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct Product {
     pub slo: Span,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -10,7 +10,7 @@
 use granitelb::brain::Brain;
 use granitelb::calls::{Advice, Answer, ApiCall, Listing, Outcome, Report, ShotEnd};
 use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, ZoneId};
-use granitelb::settings::{DedupScope, Effect, Mode, Product, Settings};
+use granitelb::settings::{DedupScope, Effect, Product, Settings};
 use granitelb::units::{Span, Time};
 use test_case::test_case;
 
@@ -50,10 +50,7 @@
 
 fn settings(words: &[&str]) -> Settings {
     Settings {
-        mode: match option(words, "mode") {
-            Some("through") => Mode::Through,
-            _ => Mode::Aside { origin: KindId(1) },
-        },
+        origin: KindId(1),
         products: Vec::new(),
         nodes: number(words, "nodes", 1.0),
         list_on_request: words.contains(&"ask"),
@@ -67,7 +64,6 @@
         may_recall: true,
         max_come_back: span(1500.0),
         value_by_work: false,
-        live_sizes: words.contains(&"live"),
         steady_sizes: false,
     }
 }
@@ -88,7 +84,6 @@
 fn outcome(word: &str) -> Outcome {
     match word {
         "fulfilled" => Outcome::Fulfilled,
-        "fetched" => Outcome::Fetched,
         "lacking" => Outcome::Lacking,
         "full" => Outcome::Full,
         "unreachable" => Outcome::Unreachable,
@@ -213,7 +208,7 @@
         let shots = &self.shots[&id];
         let shot = number(words, "shot", shots.len() as f64 - 1.0) as usize;
         let outcome = outcome(words[0]);
-        let answered = matches!(outcome, Outcome::Fulfilled | Outcome::Fetched);
+        let answered = outcome == Outcome::Fulfilled;
         let latency = span(number(words, "after", 50.0));
         let end = ShotEnd { number: ShotNumber(shot as u8), cache: shots[shot], outcome, latency, answered };
         let now = Time(self.now);
@@ -431,7 +426,6 @@
 #[test_case(scenario!("joined"); "joined")]
 #[test_case(scenario!("hang"); "hang")]
 #[test_case(scenario!("learning"); "learning")]
-#[test_case(scenario!("listed-load"); "listed load")]
 #[test_case(scenario!("reported-held"); "reported held")]
 #[test_case(scenario!("reported-waiting"); "reported waiting")]
 #[test_case(scenario!("reported-stale"); "reported stale")]
@@ -441,19 +435,13 @@
 #[test_case(scenario!("heavy"); "heavy")]
 #[test_case(scenario!("hopeless"); "hopeless")]
 #[test_case(scenario!("late"); "late")]
-#[test_case(scenario!("fetches"); "fetches")]
-#[test_case(scenario!("odds"); "odds")]
 #[test_case(scenario!("tightest"); "tightest")]
-#[test_case(scenario!("through"); "through")]
 #[test_case(scenario!("list"); "list")]
 #[test_case(scenario!("crowd"); "crowd")]
 #[test_case(scenario!("lost-answers"); "lost answers")]
 #[test_case(scenario!("silence"); "silence")]
 #[test_case(scenario!("silent-zone"); "silent zone")]
 #[test_case(scenario!("last-shot"); "last shot")]
-#[test_case(scenario!("stalled-fetches"); "stalled fetches")]
-#[test_case(scenario!("silent-through"); "silent through")]
-#[test_case(scenario!("origin-stalls"); "origin stalls")]
 #[test_case(scenario!("all-fail"); "all fail")]
 #[test_case(scenario!("advice"); "advice")]
 #[test_case(scenario!("short-slo"); "short slo")]
