A serving node takes other settings up, reads load reports where told, and checks figures

Seen: on SIGHUP with other settings a node warned and waited for a restart, in which all it knew of the caches was lost; of the settings that the module newly reads none was checked (a TardyBilledValue of 1.5 was taken); reports on sockets went unread. Ruled out: nothing of the settings is held by the transport or protocol layers (grep of their uses).

Another origin kind, or Zones and Shapes in another order, are refused by key and the settings before stay. load_header names the header of a report, in ORCA's text form; one that can't be read is counted in the tally.

Tests on loopback: migrate (first moments after the switch, open calls, way back; without the carry-over of health its first shot goes to the failing cache), migrate-refused, load-reports, nine faults in configuration.

--- a/crates/fleet/src/world/mod.rs
+++ b/crates/fleet/src/world/mod.rs
@@ -90,7 +90,8 @@
 
 /// What every node is told of the site.
 fn settings(play: &Play) -> Settings {
-    let product = |billed_value, effect| Product { slo: SLO, billed_value, late_value: 0.0, effect };
+    let product =
+        |billed_value, effect| Product { slo: SLO, billed_value, late_value: 0.0, offered: true, effect };
     let window = Span::from_millis(3000);
     let dropped = Effect::Deduplicated { scope: DedupScope::All, window };
     Settings {
--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use granitelb::units::Span;
 use granitelb_settings::{Decoded, Fault};
 use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
@@ -42,6 +41,7 @@
     #[serde(borrow)]
     settings: &'a RawValue,
     known: Option<Value>,
+    load_header: Option<Box<str>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -61,6 +61,7 @@
     /// In megabytes.
     memory: Option<u64>,
     known: Option<Listings>,
+    load_header: Option<Box<str>>,
     settings: Decoded,
 }
 
@@ -84,6 +85,11 @@
         if settings.names.products.iter().any(String::is_empty) || settings.names.products.is_empty() {
             return Err(fault("settings.Products", "each product needs a name, and there must be one"));
         }
+        let is_name =
+            |name: &str| !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+        if let Some(name) = file.load_header.as_deref().filter(|name| !is_name(name)) {
+            return Err(fault("load_header", format!("{name:?} is no name of a header")));
+        }
         let known = file.known.map(Listings::from_value).transpose().map_err(|e| fault("known", e))?;
         // The limit that is told and the one that is in force: the lower one binds.
         let in_force = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
@@ -102,6 +108,7 @@
             descriptors,
             memory: file.limits.memory_mb,
             known,
+            load_header: file.load_header,
             settings,
         })
     }
@@ -124,18 +131,35 @@
             memory: self.memory.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1024 * 1024)),
             connect_limit: self.settings.connect_limit,
             keepalive: self.settings.keepalive,
+            load_header: self.load_header.clone(),
+            settings: None,
         }
     }
 
+    /// Its settings for a node that serves under another's, where they differ; they are its own from then on.
+    pub fn move_from(&mut self, running: &Config) -> Result<Option<Box<Decoded>>, Fault> {
+        let merged = self.settings.after(&running.settings).map_err(|fault| fault.under("settings"));
+        // Where they can't be taken up, the node goes on under the ones before.
+        let settings = merged.as_ref().unwrap_or(&running.settings).clone();
+        self.settings = Decoded {
+            connect_limit: self.settings.connect_limit,
+            keepalive: self.settings.keepalive,
+            ..settings
+        };
+        let differs = |s: &Decoded| (s.decisions.clone(), s.names.clone(), s.client_timeouts.clone());
+        let moved = differs(&self.settings) != differs(&running.settings);
+        merged.map(|settings| moved.then(|| Box::new(settings)))
+    }
+
+    /// The settings that a node serves under from now on; the rest is what it was started with.
+    pub fn take_settings(&mut self, from: Config) {
+        self.settings = from.settings;
+    }
+
     /// The keys in which this one differs from the one that a running node was started with, and which it can't
-    /// take up: clients are on their way to its address, and what was learnt hangs on seed and settings.
+    /// take up: clients are on their way to its address, and what was learnt hangs on the seed.
     pub fn for_next_start(&self, running: &Config) -> Vec<&'static str> {
-        let lasting = |s: &Decoded| Decoded { connect_limit: Span::ZERO, keepalive: Span::ZERO, ..s.clone() };
-        let differs = [
-            ("listen", self.listen != running.listen),
-            ("seed", self.seed != running.seed),
-            ("settings", lasting(&self.settings) != lasting(&running.settings)),
-        ];
+        let differs = [("listen", self.listen != running.listen), ("seed", self.seed != running.seed)];
         differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 }
--- a/crates/node/src/program/signals.rs
+++ b/crates/node/src/program/signals.rs
@@ -11,7 +11,7 @@
 
 use super::config::Config;
 use super::load;
-use crate::routing::{Operator, Order};
+use crate::routing::{Live, Operator, Order};
 
 pub struct Signals {
     signals: SignalDelivery<UnixStream, SignalOnly>,
@@ -34,14 +34,20 @@
     }
 
     /// Reads the configuration again; one with a fault changes nothing.
-    fn reload(&self) -> Option<Order> {
+    fn reload(&mut self) -> Option<Order> {
         match load(self.path.as_deref()) {
-            Ok(config) => {
+            Ok(mut config) => {
                 log::info!(event = "reloaded"; "read again: {config}");
                 for key in config.for_next_start(&self.running) {
                     log::warn!(event = "reload_later", key = key; "configuration, {key}: it differs, and is taken up at the next start only");
                 }
-                Some(Order::Reload(config.live()))
+                let settings = config.move_from(&self.running).unwrap_or_else(|fault| {
+                    log::warn!(event = "settings_refused"; "configuration, {fault}: the settings are taken up at the next start only");
+                    None
+                });
+                let live = config.live();
+                self.running.take_settings(config);
+                Some(Order::Reload(Live { settings, ..live }))
             }
             Err(trouble) => {
                 log::error!(event = "reload_refused"; "{trouble}; the configuration before it stays in force");
@@ -60,7 +66,7 @@
 impl Operator for Signals {
     fn orders(&mut self) -> Vec<Order> {
         let came: Vec<_> = self.signals.pending().collect();
-        let order = |signal| if signal == SIGHUP { self.reload() } else { Some(Order::Stop) };
-        came.into_iter().filter_map(order).collect()
+        let mut order = |signal| if signal == SIGHUP { self.reload() } else { Some(Order::Stop) };
+        came.into_iter().filter_map(&mut order).collect()
     }
 }
--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -112,6 +112,11 @@
         clients
     }
 
+    /// Sets what can be asked for from now on.
+    pub fn set_offer(&mut self, names: Names, client_timeouts: Vec<Span>, come_back: Span) {
+        (self.offer, self.come_back) = (Offer { names, client_timeouts }, come_back);
+    }
+
     /// Sets of how much in all clients have their shares.
     pub fn set_limits(&mut self, limits: Limits) {
         let share = |share: f64| ((limits.connections as f64 * share) as usize).max(1);
--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -6,6 +6,7 @@
 use granitelb::brain::Brain;
 use granitelb::calls::Listing;
 use granitelb::ids::{CacheId, CellId, KindId, ZoneId};
+use granitelb::settings::Settings;
 use granitelb::units::Time;
 use granitelb_settings::Names;
 
@@ -39,6 +40,12 @@
         Driver { brain, names, placed: BTreeMap::new(), ready: 0 }
     }
 
+    /// Goes on under other settings.
+    pub fn move_to(&mut self, now: Time, settings: Settings, names: Names) {
+        self.brain.settings_changed(now, settings);
+        self.names = names;
+    }
+
     /// The list as an earlier life of this node had it.
     pub fn remembered(&mut self, sides: &mut Sides<'_>, now: Time, known: &Listings) {
         let listings = self.listings(sides, now, known);
@@ -128,7 +135,10 @@
     fn tell(&mut self, sides: &mut Sides<'_>, now: Time) -> bool {
         let exchanges = &mut *sides.exchanges;
         let mut told = false;
-        while let Some((id, end)) = exchanges.next_ended() {
+        while let Some((id, end, report)) = exchanges.next_ended() {
+            if let Some(report) = report {
+                self.brain.load_reported(now, end.cache, &report);
+            }
             self.brain.shot_ended(now, id, &end);
             told = true;
         }
--- a/crates/node/src/routing/exchange.rs
+++ b/crates/node/src/routing/exchange.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
-use granitelb::calls::{Answer, ApiCall, ShotEnd};
+use granitelb::calls::{Answer, ApiCall, Report, ShotEnd};
 use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
 use granitelb::units::Span;
 
-use super::outcome::ShotFate;
+use super::outcome::{ShotFate, load_report};
 use super::tally::Tally;
 use crate::protocol::Message;
 use crate::transport::ConnId;
@@ -43,8 +43,10 @@
     last: u64,
     arrived: VecDeque<ApiCallId>,
     left: VecDeque<ApiCallId>,
-    ended: VecDeque<(ApiCallId, ShotEnd)>,
+    ended: VecDeque<(ApiCallId, ShotEnd, Option<Report>)>,
     answered: VecDeque<ApiCallId>,
+    /// The header that load reports come in.
+    load_header: Option<Box<str>>,
     tally: Tally,
 }
 
@@ -111,6 +113,11 @@
         fate: ShotFate,
         latency: Span,
     ) {
+        let report = self.load_header.as_ref().and_then(|name| fate.header(name)).map(load_report);
+        if report == Some(None) {
+            self.tally.count_unread_report();
+        }
+        let report = report.flatten();
         let (outcome, answer) = fate.into_outcome();
         if let Some(answer) = answer {
             self.settle(id, FinalAnswer::Fulfilled(answer));
@@ -119,13 +126,17 @@
         let Some(exchange) = self.open.get_mut(&id) else { return };
         exchange.out = exchange.out.saturating_sub(1);
         let end = ShotEnd { number, cache, outcome, latency, answered: exchange.answered };
-        self.ended.push_back((id, end));
+        self.ended.push_back((id, end, report));
         self.clear(id);
     }
 }
 
 /// The driver's part.
 impl Exchanges {
+    pub fn set_load_header(&mut self, name: Option<Box<str>>) {
+        self.load_header = name;
+    }
+
     pub fn next_arrived(&mut self) -> Option<(ApiCallId, ApiCall)> {
         loop {
             let id = self.arrived.pop_front()?;
@@ -140,7 +151,7 @@
         self.left.pop_front()
     }
 
-    pub fn next_ended(&mut self) -> Option<(ApiCallId, ShotEnd)> {
+    pub fn next_ended(&mut self) -> Option<(ApiCallId, ShotEnd, Option<Report>)> {
         self.ended.pop_front()
     }
 
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -12,4 +12,4 @@
 mod watch;
 
 pub use node::{Live, Node, Operator, Order, Setup};
-pub use outcome::ShotFate;
+pub use outcome::{ShotFate, load_report};
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -59,6 +59,10 @@
     pub memory: usize,
     pub connect_limit: Span,
     pub keepalive: Span,
+    /// The header of an answer that holds the cache's load report, if one does.
+    pub load_header: Option<Box<str>>,
+    /// Other settings than before, for a node that serves.
+    pub settings: Option<Box<Decoded>>,
 }
 
 /// What a serving node is told to do.
@@ -117,13 +121,15 @@
         let unasked = !decisions.list_on_request;
         let come_back = decisions.max_come_back;
         let brain = Brain::new(decisions, setup.seed, now);
+        let mut exchanges = Exchanges::default();
+        exchanges.set_load_header(live.load_header);
         let revision = setup.known.as_ref().map(|k| k.revision);
         let mut node = Node {
             clients: Clients::new(CLIENTS, limits, names.clone(), client_timeouts, come_back),
             servers: Servers::new(SERVERS, live.connect_limit, live.keepalive),
             watch: Watch::new(DISCOVERY, live.discovery, live.connect_limit, revision),
             driver: Driver::new(brain, names),
-            exchanges: Exchanges::default(),
+            exchanges,
             listener: Some(listener),
             transport,
             stopping: None,
@@ -184,6 +190,10 @@
                 self.clients.set_limits(limits);
                 self.kept_free = kept_free(limits.connections);
                 self.servers.set_times(live.connect_limit, live.keepalive);
+                self.exchanges.set_load_header(live.load_header);
+                if let Some(settings) = live.settings {
+                    self.move_to(now, *settings);
+                }
                 if let Some(heard) =
                     self.watch.move_to(&mut self.transport, now, live.discovery, live.connect_limit)
                 {
@@ -193,6 +203,16 @@
         }
     }
 
+    /// Goes on under other settings, with what was learnt.
+    fn move_to(&mut self, now: Time, settings: Decoded) {
+        let Decoded { decisions, names, client_timeouts, .. } = settings;
+        log::info!(event = "moved"; "settings taken up; calls that are open keep their terms");
+        // Those of former products, whose calls may be open still, are among them.
+        self.longest_call = client_timeouts.iter().copied().max().unwrap_or_default();
+        self.clients.set_offer(names.clone(), client_timeouts, decisions.max_come_back);
+        self.driver.move_to(now, decisions, names);
+    }
+
     fn turn(&mut self, now: Time, events: &[Event]) {
         for event in events {
             match event.id.owner() {
--- a/crates/node/src/routing/outcome.rs
+++ b/crates/node/src/routing/outcome.rs
@@ -1,6 +1,7 @@
 //! The one place where what became of a shot is put in the module's words.
 
-use granitelb::calls::Outcome;
+use granitelb::calls::{Outcome, Report};
+use granitelb_settings::Column;
 
 use crate::protocol::Message;
 use crate::transport::End;
@@ -14,6 +15,14 @@
 }
 
 impl ShotFate {
+    /// A header of the answer, if one came.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        match self {
+            ShotFate::Answered(message) => message.head.text(name),
+            ShotFate::Lost { .. } => None,
+        }
+    }
+
     /// What the decisions hear of it, and the answer for the client, if it is one.
     pub fn into_outcome(self) -> (Outcome, Option<Message>) {
         match self {
@@ -52,3 +61,20 @@
         End::Closed | End::Broken | End::Done => Outcome::Reset,
     }
 }
+
+/// A load report as ORCA's text form has it (`TEXT named_metrics.backlog=3, rps_fractional=20`): metrics go by the
+/// names of the settings' columns, others are skipped. None where it is not of that form or tells nothing that is known.
+pub fn load_report(text: &str) -> Option<Report> {
+    let metrics = text.trim().strip_prefix("TEXT ")?;
+    let mut figures = Vec::new();
+    for metric in metrics.split(',') {
+        let (name, figure) = metric.trim().split_once('=')?;
+        let column = match name.strip_prefix("named_metrics.").unwrap_or(name) {
+            "rps_fractional" => Column::PerSecond,
+            name => Column::of_name(name),
+        };
+        figures.push((column, figure.trim().parse::<f64>().ok()?));
+    }
+    let (columns, figures): (Vec<_>, Vec<_>) = figures.into_iter().unzip();
+    Some(granitelb_settings::report(&columns, figures)).filter(|report| *report != Report::default())
+}
--- a/crates/node/src/routing/tally.rs
+++ b/crates/node/src/routing/tally.rs
@@ -15,6 +15,7 @@
     left: u64,
     /// Shots by the word for how they ended.
     shots: BTreeMap<&'static str, u64>,
+    unread_reports: u64,
 }
 
 impl Tally {
@@ -42,12 +43,16 @@
         *self.shots.entry(word).or_default() += 1;
     }
 
+    pub fn count_unread_report(&mut self) {
+        self.unread_reports += 1;
+    }
+
     pub fn log(&self) {
-        let Tally { fulfilled, rate_limited, errored, left, shots } = self;
+        let Tally { fulfilled, rate_limited, errored, left, shots, unread_reports } = self;
         let shots: u64 = shots.values().sum();
         log::info!(
             event = "tally", fulfilled = fulfilled, rate_limited = rate_limited, errored = errored, left = left,
-            shots = shots;
+            shots = shots, unread_reports = unread_reports;
             "{self}"
         );
     }
@@ -59,13 +64,16 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Tally { fulfilled, rate_limited, errored, left, shots } = self;
+        let Tally { fulfilled, rate_limited, errored, left, shots, unread_reports } = self;
         let calls = fulfilled + rate_limited + errored + left;
         write!(f, "{calls} calls: {fulfilled} fulfilled, {rate_limited} rate-limited, {errored} errored, ")?;
         write!(f, "{left} left by clients; {} shots", shots.values().sum::<u64>())?;
         for (at, (word, count)) in shots.iter().enumerate() {
             write!(f, "{} {count} {word}", if at == 0 { ":" } else { "," })?;
         }
+        if *unread_reports > 0 {
+            write!(f, "; {unread_reports} load reports that can't be read")?;
+        }
         Ok(())
     }
 }
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -14,7 +14,7 @@
 //! act on its connection, `cut ID` sees it ended. `answer CLIENT STATUS [body=TEXT]`, `ended CLIENT`, `kept CLIENT`
 //! (still open). `opened CACHE N` counts the connections made so far. `quiet MS` nothing happens; `wait MS`.
 //! `die CACHE`, `deaf CACHE` (what knocks hears nothing; also `discovery`), `hear CACHE`; `idle N`, `halves N`, `asked N`, `crowd N` clients come,
-//! with nothing, half a message, a question that is no call, a call each; `starve N` the system gives the node no more than N descriptors; `stop`, `exits`. `faulty KEY JSON says KEY` checks a configuration, `fate END half|whole OUTCOME` what
+//! with nothing, half a message, a question that is no call, a call each; `starve N` the system gives the node no more than N descriptors; `stop`, `exits`. `faulty KEY JSON says KEY` checks a configuration, `report TEXT [says NAME=FIGURE ...]` reads a load report, `fate END half|whole OUTCOME` what
 //! the module hears of a shot whose connection ended like that, written to its end or not.
 //!
 //! `read SIDE TEXT` and the pieces that follow as `> ...` try a reader: whole, byte by byte, and cut everywhere.
@@ -27,7 +27,7 @@
 use std::time::{Duration, Instant};
 
 use granitelb_node::protocol::{Assembler, Fault, Side};
-use granitelb_node::routing::ShotFate;
+use granitelb_node::routing::{ShotFate, load_report};
 use granitelb_node::transport::{End, Ring};
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -300,7 +300,8 @@
     fn configure(&mut self, under: &str, words: &[&str]) {
         for (path, value) in words.iter().filter_map(|w| w.split_once('=')) {
             let path = path.split('.').fold(under.to_string(), |p, part| format!("{p}/{part}"));
-            *self.config.pointer_mut(&path).expect("a key") = value.parse().expect("JSON");
+            let (parent, key) = path.rsplit_once('/').expect("a path");
+            self.config.pointer_mut(parent).expect("a key")[key] = value.parse().expect("JSON");
         }
     }
 
@@ -556,6 +557,19 @@
                 let (outcome, _) = ShotFate::Lost { end, whole: written == "whole" }.into_outcome();
                 assert_eq!(format!("{outcome:?}"), word, "{line}");
             }
+            ["report", ..] => {
+                let text = line.strip_prefix("report ").expect("a text");
+                let (text, figures) = text.split_once(" says ").unwrap_or((text, ""));
+                let said = load_report(text).map(|r| {
+                    let service = r.service.map(|s| s.as_secs_f64() * 1e3);
+                    [("held", r.held), ("waiting", r.waiting), ("service", service), ("per_s", r.per_s)]
+                        .iter()
+                        .filter_map(|(name, figure)| figure.map(|f| format!("{name}={f}")))
+                        .collect::<Vec<_>>()
+                        .join(" ")
+                });
+                assert_eq!(said.unwrap_or_default(), figures, "{line}");
+            }
             ["faulty", path, value, "says", key] => {
                 let mut config = self.config.clone();
                 let path = path.split('.').fold(String::new(), |p, part| format!("{p}/{part}"));
@@ -650,6 +664,9 @@
 #[test_case(include_str!("scenarios/outcomes.txt"); "outcomes")]
 #[test_case(include_str!("scenarios/parsers.txt"); "parsers")]
 #[test_case(include_str!("scenarios/refused.txt"); "refused")]
+#[test_case(include_str!("scenarios/load-reports.txt"); "load_reports")]
+#[test_case(include_str!("scenarios/migrate.txt"); "migrate")]
+#[test_case(include_str!("scenarios/migrate-refused.txt"); "migrate_refused")]
 #[test_case(include_str!("scenarios/reload.txt"); "reload")]
 #[test_case(include_str!("scenarios/rude-crowd.txt"); "rude_crowd")]
 #[test_case(include_str!("scenarios/rude.txt"); "rude")]
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -132,7 +132,13 @@
 fn module_settings(play: &Play) -> ModuleSettings {
     ModuleSettings {
         origin: KindId(1),
-        products: vec![Product { slo: SLO, billed_value: 1.0, late_value: 0.0, effect: Effect::Idempotent }],
+        products: vec![Product {
+            slo: SLO,
+            billed_value: 1.0,
+            late_value: 0.0,
+            offered: true,
+            effect: Effect::Idempotent,
+        }],
         nodes: play.forwarders as f64,
         list_on_request: false,
         must_ask_in: Span::from_millis(10_000),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -36,7 +36,7 @@
 }
 
 impl Column {
-    fn of_name(name: &str) -> Column {
+    pub fn of_name(name: &str) -> Column {
         match name {
             "outstanding" => Column::Held,
             "backlog" => Column::Waiting,
@@ -211,8 +211,89 @@
     1.0
 }
 
+/// More products than this since a node's start, and it has to be started anew.
+const MOST_PRODUCTS: usize = 256;
+/// Stands before the name of a product that can't be asked for any more; no path has it.
+const NOT_OFFERED: char = '\n';
+
+impl Decoded {
+    /// These settings for a node that serves under others: its products keep their places, also those that can't be
+    /// asked for any more, and what differs in its terms is another product. A fault where that can't be done safely.
+    pub fn after(&self, running: &Decoded) -> Result<Decoded, Fault> {
+        let fault = |key: &str, trouble: &str| Fault { key: key.into(), trouble: trouble.into() };
+        let (old, new) = (&running.decisions, &self.decisions);
+        if old.origin != new.origin {
+            return Err(fault("Specifics.OriginKind", "the origin is another"));
+        }
+        for (key, old, new) in [
+            ("Shapes", &running.names.kinds, &self.names.kinds),
+            ("Zones", &running.names.zones, &self.names.zones),
+        ] {
+            if !new.starts_with(old) {
+                return Err(fault(key, "names that the list has used would change places"));
+            }
+        }
+        let mut merged = Decoded {
+            decisions: Settings { products: old.products.clone(), ..new.clone() },
+            names: Names { products: running.names.products.clone(), ..self.names.clone() },
+            client_timeouts: running.client_timeouts.clone(),
+            ..self.clone()
+        };
+        merged.decisions.products.iter_mut().for_each(|p| p.offered = false);
+        merged.names.products.iter_mut().for_each(|name| *name = name.trim_start_matches(NOT_OFFERED).into());
+        let known = merged.names.products.clone();
+        for (n, product) in new.products.iter().enumerate() {
+            let (name, timeout) = (&self.names.products[n], self.client_timeouts[n]);
+            let same = |at: &usize| {
+                let mut held = old.products[*at].clone();
+                held.offered = true;
+                held == *product && running.client_timeouts[*at] == timeout && known[*at] == *name
+            };
+            match (0..old.products.len()).find(same) {
+                Some(at) => merged.decisions.products[at].offered = true,
+                None => {
+                    merged.decisions.products.push(product.clone());
+                    merged.names.products.push(name.clone());
+                    merged.client_timeouts.push(timeout);
+                }
+            }
+        }
+        if merged.decisions.products.len() > MOST_PRODUCTS {
+            return Err(fault("Products", "too many changed since the start"));
+        }
+        for (name, product) in merged.names.products.iter_mut().zip(&merged.decisions.products) {
+            if !product.offered {
+                name.insert(0, NOT_OFFERED);
+            }
+        }
+        Ok(merged)
+    }
+}
+
+/// Names the key of a figure that is no share, or under the least that it may be.
+fn check(params: &Params) -> Result<(), Fault> {
+    let share = |key: &str, value: f64| (key.to_string(), value, 0.0..=1.0);
+    let least = |key: &str, value: f64| (key.to_string(), value, 0.0..=f64::MAX);
+    let mut figures = vec![
+        share("Rules.ColdFrom", params.rules.cold_from),
+        least("Rules.FallMultiple", params.rules.fall_multiple),
+    ];
+    for (n, product) in params.products.iter().enumerate() {
+        figures.push(share(&format!("Products[{n}].TardyBilledValue"), product.tardy_billed_value));
+        figures.push(least(&format!("Products[{n}].BilledValue"), product.billed_value));
+    }
+    match figures.into_iter().find(|(_, value, range)| !range.contains(value)) {
+        Some((key, value, range)) => {
+            let most = if *range.end() == 1.0 { "between 0 and 1" } else { "0 or more" };
+            Err(Fault { key, trouble: format!("{value} is not {most}") })
+        }
+        None => Ok(()),
+    }
+}
+
 pub fn decode(text: &[u8]) -> Result<Decoded, Fault> {
     let params: Params = read(text)?;
+    check(&params)?;
     let specifics = &params.specifics;
     if specifics.mode != "aside" {
         let trouble =
@@ -270,6 +351,7 @@
         slo: Span(params.latency_slo_us),
         billed_value: params.billed_value,
         late_value: params.tardy_billed_value,
+        offered: true,
         effect: match params.effect.as_str() {
             "read_like" => Effect::Idempotent,
             "idempotency_key" => Effect::Deduplicated { scope, window: Span(params.window_us) },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,19 +1,21 @@
 //! All decisions of one node. How to call it: make a [`Brain`] from the settings; tell it what happens
 //! (`caches_listed`, `list_failed`, `api_call`, `client_left`, `shot_ended`: they only update what is known);
 //! then pull `next_shot`, `next_answer`, `next_recall` and `wants_watch` until none is left, and call again
-//! by `next_wake`. The ordinary path is `ranked` in `choosing`: the highest learned weight among a key's three
-//! candidates. Rules are kept in `may_send` there, which every shot passes, and in `answer` in `ending`, which every
-//! final answer passes. Where this leaves its design: `docs/design.md`.
+//! by `next_wake`. The ordinary path is `ranked` in `choosing`: the highest learned weight among a key's
+//! three candidates. Rules are kept in `may_send` there, which every shot passes, and in `answer` in
+//! `ending`, which every final answer passes. Where this leaves its design: `docs/design.md`.
 
 mod caches;
 mod choosing;
 mod ending;
 mod known;
 mod learning;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::ops::Bound::{Excluded, Unbounded};
 
+use self::zones::Zones;
 use crate::calls::{Advice, Answer, ApiCall, Listing, Outcome, Report, Shot, ShotEnd};
 use crate::chance::{hash_of, unit};
 use crate::decay::{FadingLevel, FadingMean, FadingSum};
@@ -22,7 +24,6 @@
 use crate::settings::{DedupScope, Effect, Product, Settings};
 use crate::slots::SlotTable;
 use crate::units::{Span, Time};
-use crate::zones::Zones;
 
 // The mechanism. Its source leaves these figures open.
 /// Candidates of a key.
@@ -73,16 +74,19 @@
 const PATIENCE: f64 = 0.4;
 /// A turned-away client is asked to stay away for this many SLOs: a repeat soon after would come too late.
 const COME_BACK: f64 = 4.0;
-/// A shot left without an answer for less than this share of its SLO says nothing of the cache. Aside, one left for
-/// longer is called off where nothing was heard from its cache since: what is left of the SLO serves elsewhere.
+/// A shot left without an answer for less than this share of its SLO says nothing of the cache. Aside, one
+/// left for longer is called off where nothing was heard from its cache since: what is left of the SLO serves
+/// elsewhere.
 const SILENCE_SHARE: f64 = 0.5;
-/// Nor does one that has not been out for so many times its own work: a large one behind two others takes that long.
+/// Nor does one that has not been out for so many times its own work: a large one behind two others takes
+/// that long.
 const PATIENT_WORK: f64 = 8.0;
 /// Advice leaves out so great a part of the caches at the most.
 const MINORITY: f64 = 0.34;
 /// Cold caches are sent at most so many times what warm size carried of late, where calls ask for more.
 const COLD_GROWS: f64 = 1.5;
-/// Reads that caches turned away may fill this part of the origin's limit: misses and writes have nowhere else to go.
+/// Reads that caches turned away may fill this part of the origin's limit: misses and writes have nowhere
+/// else to go.
 const SPARE_PART: f64 = 0.5;
 /// How often waiting calls are looked at when nothing happens.
 const RECHECK: Span = Span::from_millis(20);
@@ -163,16 +167,20 @@
     now: Time,
 }
 
+/// What is expected of a product's answers before any came.
+fn unknown_latencies(product: &Product, now: Time) -> [FadingMean; 2] {
+    [FadingMean::new(RATE_MEMORY, now, product.slo.as_secs_f64() / 8.0); 2]
+}
+
 /// Interface.
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
-        let latencies = |p: &Product| [FadingMean::new(RATE_MEMORY, now, p.slo.as_secs_f64() / 8.0); 2];
         Brain {
             sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             wanted: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             warm_size: 0.0,
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
-            latencies: settings.products.iter().map(latencies).collect(),
+            latencies: settings.products.iter().map(|p| unknown_latencies(p, now)).collect(),
             reask: settings.list_on_request.then_some((now, FIRST_REASK)),
             settings,
             seed,
@@ -196,6 +204,34 @@
         }
     }
 
+    /// Other settings hold from now on; products keep their places, new ones follow. Calls that are open keep
+    /// the terms that they were taken under. What was learnt of caches stands where it still means the same;
+    /// the rest starts anew.
+    pub fn settings_changed(&mut self, now: Time, settings: Settings) {
+        self.heard(now);
+        let old = std::mem::replace(&mut self.settings, settings);
+        let s = &self.settings;
+        let new = s.products.iter().skip(self.latencies.len()).map(|p| unknown_latencies(p, now));
+        self.latencies.extend(new);
+        for c in self.caches.values_mut() {
+            // Usage may be of another kind now, and limits start by the number of nodes; shots that are out
+            // still count.
+            (c.push, c.told) = (0.0, None);
+            if s.nodes != old.nodes {
+                c.limit = Limit { in_flight: c.limit.in_flight, ..Limit::new(s.nodes, now) };
+            }
+        }
+        // Sums over other windows, or by other sizes, would grant cold caches work that they can't take.
+        if (s.fall_window, s.warm_after, s.steady_sizes)
+            != (old.fall_window, old.warm_after, old.steady_sizes)
+        {
+            self.sent = FadingSum::new(s.fall_window.max(LEARNING_STEP), now);
+            self.wanted = self.sent;
+            self.carried = FadingMean::new(s.warm_after.max(LEARNING_STEP), now, 0.0);
+        }
+        self.renew_table();
+    }
+
     /// The list that an earlier life of this node last saw; it may be old.
     pub fn caches_remembered(&mut self, now: Time, listings: &[Listing]) {
         self.take_list(now, listings, true);
@@ -281,8 +317,8 @@
         }
     }
 
-    /// What planners say of caches. Own evidence that is fresher stands; and since all may lie, no more caches are left
-    /// out by it than a third, and none is taken back in but by a trial.
+    /// What planners say of caches. Own evidence that is fresher stands; and since all may lie, no more
+    /// caches are left out by it than a third, and none is taken back in but by a trial.
     pub fn plan_heard(&mut self, now: Time, advice: &Advice) {
         self.heard(now);
         let most = (self.table.len() as f64 * MINORITY).max(1.0) as usize;
--- a/src/brain/caches.rs
+++ b/src/brain/caches.rs
@@ -11,8 +11,8 @@
         now >= self.rest_until && self.in_flight < self.most.max(1.0)
     }
 
-    /// A shot ended after `latency`, having met a crowd, none, or neither. `service` is how long one takes, give
-    /// or take by chance.
+    /// A shot ended after `latency`, having met a crowd, none, or neither. `service` is how long one takes,
+    /// give or take by chance.
     pub(super) fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span) {
         let filled = self.in_flight >= self.most * 0.5;
         self.in_flight -= 1.0;
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -65,7 +65,8 @@
         origins.find(|c| self.is_free(now, id, *c))
     }
 
-    /// Whether all candidates of a read fail or failed it, so that nobody is left but the origin, under its limit.
+    /// Whether all candidates of a read fail or failed it, so that nobody is left but the origin, under its
+    /// limit.
     fn all_fail(&self, now: Time, id: ApiCallId) -> bool {
         let open = &self.open[&id];
         let out = |c: &Cache| c.trial.is_some() || !self.zones.may_try(now, c.listing.zone);
@@ -140,7 +141,8 @@
         let warmth = self.warmth(now, c);
         // Twice the part may come together by chance; where even that would topple it, it gets less.
         let part = (self.settings.fall_multiple * 0.5).min(1.0) / self.settings.fall_window.as_secs_f64();
-        // Where the fleet grows colder the same calls fall to less warm size: the mean of before would refuse them.
+        // Where the fleet grows colder the same calls fall to less warm size: the mean of before would refuse
+        // them.
         let (carried, wanted) = (self.carried.read(now), self.wanted.read(now) / self.warm_size.max(1e-9));
         let carried = wanted.min(carried * COLD_GROWS).max(carried);
         (carried * self.size_of(&c.listing) * part).max(1.0 / self.settings.nodes) * warmth
--- a/src/brain/ending.rs
+++ b/src/brain/ending.rs
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Whether a shot has nothing to wait for, while its call has another candidate: its cache was not heard since,
-    /// for long, or its zone is silent.
+    /// Whether a shot has nothing to wait for, while its call has another candidate: its cache was not heard
+    /// since, for long, or its zone is silent.
     fn is_silent(&self, now: Time, id: ApiCallId, shot: &Sent) -> bool {
         let typical = Span::from_secs_f64(self.latency(now, shot.call.product, false));
         let elsewhere = |c: CacheId| c != shot.cache && self.has_room(now, id, c);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,3 @@
 pub mod settings;
 mod slots;
 pub mod units;
-mod zones;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,7 +35,7 @@
 impl Settings {
     /// The SLO of the product with the least time.
     pub fn tightest_slo(&self) -> Span {
-        self.products.iter().map(|p| p.slo).min().unwrap_or_default()
+        self.products.iter().filter(|p| p.offered).map(|p| p.slo).min().unwrap_or_default()
     }
 }
 
@@ -45,6 +45,8 @@
     pub billed_value: f64,
     /// The part of it that an answer after the SLO is worth.
     pub late_value: f64,
+    /// Whether it can be asked for: others stand for calls that were taken under former settings.
+    pub offered: bool,
     pub effect: Effect,
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -396,6 +396,7 @@
                     slo: span(number(rest, "slo", 600.0)),
                     billed_value: number(rest, "value", 1.0),
                     late_value: number(rest, "late", 0.0),
+                    offered: true,
                     effect: effect(rest[1]),
                 });
             }
