--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -312,6 +312,13 @@
                     self.reports.remove(&cache);
                 }
             }
+            // Other settings hold from now on, for the same products.
+            "moved" => {
+                let products = self.settings.products.clone();
+                let moved = Settings { products, ..settings(rest) };
+                self.settings = moved.clone();
+                self.brain().settings_changed(now, moved);
+            }
             "advised" => {
                 let mut advice = Advice::default();
                 for (said, of) in rest.iter().filter_map(|w| w.split_once('=')) {
@@ -439,6 +446,7 @@
 #[test_case(scenario!("late"); "late")]
 #[test_case(scenario!("tightest"); "tightest")]
 #[test_case(scenario!("list"); "list")]
+#[test_case(scenario!("moved"); "moved")]
 #[test_case(scenario!("crowd"); "crowd")]
 #[test_case(scenario!("lost-answers"); "lost answers")]
 #[test_case(scenario!("silence"); "silence")]
