--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,11 +64,8 @@
 const LIMIT_CUT: f64 = 0.7;
 /// Low limits grow by this share at most: small limits of many nodes settle where few shots meet a crowd.
 const LIMIT_GROWS: f64 = 0.3;
-/// Limits fall to so much over all nodes together, but not under or over these at each: low enough to let a
-/// crowd of all nodes drain, high enough to notice soon that it has.
-const LEAST_LIMIT: f64 = 2.25;
-const LEAST_AT_ONE: f64 = 0.06;
-const MOST_LEAST_AT_ONE: f64 = 0.25;
+/// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
+const MIN_LIMIT: f64 = 0.25;
 /// An answer slower than this share of its SLO tells of a queue.
 const SLOW_SHARE: f64 = 0.4;
 /// A reported wait under this share of the tightest SLO is no queue.
@@ -103,7 +100,6 @@
 struct Limit {
     in_flight: f64,
     most: f64,
-    least: f64,
     last_cut: Time,
     rest_until: Time,
 }
--- a/src/brain/caches.rs
+++ b/src/brain/caches.rs
@@ -4,13 +4,7 @@
 
 impl Limit {
     pub(super) fn new(nodes: f64, now: Time) -> Limit {
-        Limit {
-            in_flight: 0.0,
-            most: (FIRST_LIMIT / nodes).max(1.0),
-            least: (LEAST_LIMIT / nodes).clamp(LEAST_AT_ONE, MOST_LEAST_AT_ONE),
-            last_cut: now,
-            rest_until: now,
-        }
+        Limit { in_flight: 0.0, most: (FIRST_LIMIT / nodes).max(1.0), last_cut: now, rest_until: now }
     }
 
     pub(super) fn has_room(&self, now: Time) -> bool {
@@ -35,7 +29,7 @@
     /// One cut for one crowd: only shots sent after the last cut tell of the limit it set.
     pub(super) fn cut(&mut self, now: Time, latency: Span) {
         if now - self.last_cut >= latency {
-            self.most = (self.most * LIMIT_CUT).max(self.least);
+            self.most = (self.most * LIMIT_CUT).max(MIN_LIMIT);
             self.last_cut = now;
         }
     }
