Review of the move: joined calls end at their SLO, old reports veto nothing, terms at a move

A cold cache's saved time counted at the rate of the new settings (brain.rs settings_changed); it counts from the switch. Simpler: load reports from pairs, settings compared without copies.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -114,11 +114,8 @@
                 let told = usize::from(record.u8(26).min(4));
                 if told > 0 {
                     let figures = (0..told).map(|n| f64::from(record.f32(27 + 4 * n)));
-                    brain.load_reported(
-                        now,
-                        end.cache,
-                        &granitelb_settings::report(&instance.columns, figures),
-                    );
+                    let report = granitelb_settings::report(instance.columns.iter().copied().zip(figures));
+                    brain.load_reported(now, end.cache, &report);
                 }
                 brain.shot_ended(now, ApiCallId(record.u64(4)), &end);
             }
--- a/crates/node/src/program/config.rs
+++ b/crates/node/src/program/config.rs
@@ -146,8 +146,9 @@
             keepalive: self.settings.keepalive,
             ..settings
         };
-        let differs = |s: &Decoded| (s.decisions.clone(), s.names.clone(), s.client_timeouts.clone());
-        let moved = differs(&self.settings) != differs(&running.settings);
+        let (new, old) = (&self.settings, &running.settings);
+        let same = new.decisions == old.decisions && new.names == old.names;
+        let moved = !same || new.client_timeouts != old.client_timeouts;
         merged.map(|settings| moved.then(|| Box::new(settings)))
     }
 
--- a/crates/node/src/routing/outcome.rs
+++ b/crates/node/src/routing/outcome.rs
@@ -75,6 +75,5 @@
         };
         figures.push((column, figure.trim().parse::<f64>().ok()?));
     }
-    let (columns, figures): (Vec<_>, Vec<_>) = figures.into_iter().unzip();
-    Some(granitelb_settings::report(&columns, figures)).filter(|report| *report != Report::default())
+    Some(granitelb_settings::report(figures)).filter(|report| *report != Report::default())
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -48,9 +48,9 @@
 }
 
 /// A load report from its figures; one that is negative or no number counts as not told.
-pub fn report(columns: &[Column], figures: impl IntoIterator<Item = f64>) -> Report {
+pub fn report(figures: impl IntoIterator<Item = (Column, f64)>) -> Report {
     let mut report = Report::default();
-    for (column, figure) in columns.iter().zip(figures).filter(|(_, f)| f.is_finite() && *f >= 0.0) {
+    for (column, figure) in figures.into_iter().filter(|(_, f)| f.is_finite() && *f >= 0.0) {
         match column {
             Column::Held => report.held = Some(figure),
             Column::Waiting => report.waiting = Some(figure),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -215,8 +215,8 @@
         self.latencies.extend(new);
         for c in self.caches.values_mut() {
             // Usage may be of another kind now, and limits start by the number of nodes; shots that are out
-            // still count.
-            (c.push, c.told) = (0.0, None);
+            // still count. The time until now saves no work at the rate of from now on.
+            (c.push, c.told, c.saved.1) = (0.0, None, now);
             if s.nodes != old.nodes {
                 c.limit = Limit { in_flight: c.limit.in_flight, ..Limit::new(s.nodes, now) };
             }
@@ -269,6 +269,7 @@
             end: now + call.budget,
             patience_end: now + slo.scaled(PATIENCE),
             shots: Vec::new(),
+            most_shots: self.settings.max_shots as usize,
             may_have_run: None,
             passed: Vec::new(),
             lacking: false,
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -12,7 +12,7 @@
         let possible =
             |c: &Cache| !open.passed.contains(&c.listing.cache) && self.may_repeat(now, open, &c.listing);
         let barred = open.may_have_run.is_some() && !self.caches.values().any(possible);
-        if now + typical > open.worth_end || barred || open.shots.len() >= self.settings.max_shots as usize {
+        if now + typical > open.worth_end || barred || open.shots.len() >= open.most_shots {
             self.give_up(id);
             return None;
         }
@@ -21,12 +21,12 @@
             waiting.push(id);
             self.ready.remove(&open.rank);
             // A joined call whose fetch drags on is given up at its SLO.
-            self.alarms.insert((open.worth_end, id));
+            self.alarms.insert((open.slo_end, id));
             return None;
         }
         // A read that was turned away everywhere has its last shot where one more crowd can't be met.
         let late = now + typical > open.slo_end;
-        let last = !open.shots.is_empty() && open.shots.len() + 1 == self.settings.max_shots as usize;
+        let last = !open.shots.is_empty() && open.shots.len() + 1 == open.most_shots;
         let part = if asks_origin && !late { 1.0 } else { SPARE_PART };
         let at_origin = (asks_origin || last).then(|| self.free_origin(now, id, part)).flatten();
         let target = match at_origin.or_else(|| self.best_candidate(now, id).filter(|_| !asks_origin)) {
@@ -103,7 +103,7 @@
     fn may_send(&self, now: Time, id: ApiCallId, cache: CacheId) -> bool {
         let (Some(open), Some(c)) = (self.open.get(&id), self.caches.get(&cache)) else { return false };
         // Rule 1: nothing for a call that has ended.
-        let lives = now < open.end && open.shots.len() < self.settings.max_shots as usize;
+        let lives = now < open.end && open.shots.len() < open.most_shots;
         // Rule 2: no effect twice, and no two shots out where the site forbids it.
         let single = self.settings.second_copies || open.first_out().is_none();
         let harmless = single && self.may_repeat(now, open, &c.listing);
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -43,7 +43,7 @@
             let Some(open) = self.open.get(&id) else { continue };
             if at >= open.end {
                 self.answer(id, Answer::Errored);
-            } else if at >= open.worth_end && open.first_out().is_none() {
+            } else if at >= open.slo_end && open.first_out().is_none() {
                 self.give_up(id);
             } else {
                 self.call_off_lost(now, id);
@@ -71,7 +71,7 @@
         // Where hardly any wait is reported, it is the work that takes long: fewer shots would not be
         // quicker.
         let short = self.settings.tightest_slo().as_secs_f64() * SHORT_WAIT;
-        let waits = self.told_wait(sent.cache).is_none_or(|wait| wait > short);
+        let waits = self.told_wait(now, sent.cache).is_none_or(|wait| wait > short);
         let slow = latency > least.max(quickest.scaled(6.0).min(slo.scaled(0.7))) && waits;
         // What came too late does not count: it would make every call look hopeless.
         if outcome == Outcome::Fulfilled && latency <= slo {
@@ -157,9 +157,9 @@
     }
 
     /// How long a call waits at a cache by its last report, where that tells: by Little's law the calls held
-    /// over the rate are the time that one is there.
-    fn told_wait(&self, cache: CacheId) -> Option<f64> {
-        let (_, told) = self.caches.get(&cache)?.told?;
+    /// over the rate are the time that one is there. An old report must not pass off a queue for long work.
+    fn told_wait(&self, now: Time, cache: CacheId) -> Option<f64> {
+        let (_, told) = self.caches.get(&cache)?.told.filter(|t| now - t.0 <= USAGE_MEMORY)?;
         Some(told.held? / told.per_s.filter(|p| *p > 0.0)? - told.service?.as_secs_f64())
     }
 
--- a/src/open_call.rs
+++ b/src/open_call.rs
@@ -23,6 +23,8 @@
     pub end: Time,
     pub patience_end: Time,
     pub shots: Vec<Sent>,
+    /// How many it may have, by the settings that it was taken under.
+    pub most_shots: usize,
     /// The first shot that may have run.
     pub may_have_run: Option<usize>,
     /// Caches that lacked the key or did not serve it.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,7 +59,7 @@
         warm_after: span(20_000.0),
         fall_multiple: 3.0,
         fall_window: span(2000.0),
-        max_shots: 4,
+        max_shots: number(words, "shots", 4.0) as u8,
         second_copies: false,
         may_recall: true,
         max_come_back: span(1500.0),
