Two auditor tests shared one world's name, files and program: each has its own now

Cause: crates/lab/tests/auditor.rs, `judged`: a_write_sent_again and an_effect_twice have one vice, so one name, one folder of `world::scratch` and one stand-in script. The node of one read the configuration that the other had just written and listened at its address; or its script was being written when it was started. Names and scripts are numbered now.

No module or network code is touched.

--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -132,6 +132,14 @@
     IpAddr::V4(Ipv4Addr::new(127, second, (run % 16) * 16 + node as u8, last as u8))
 }
 
+/// Where a node listens, chosen without a socket: while one held it, even for a moment, a child that another thread forks
+/// there would keep it open until its exec, and the node would find its address in use. It lies under the ports that the
+/// system gives out, and differs from run to run.
+fn node_address(run: u8, node: usize) -> SocketAddr {
+    let process = (std::process::id() / 128 % 64) as u16;
+    SocketAddr::new(address(run, node, NODE_AT), 16_384 + process * 256 + u16::from(run))
+}
+
 const ORIGIN_AT: usize = 200;
 const DISCOVERY_AT: usize = 201;
 const NODE_AT: usize = 202;
@@ -195,8 +203,7 @@
                 world.node_addresses.push(at);
                 continue;
             }
-            // Free a moment ago, on an address of this run's own.
-            let listen = std::net::TcpListener::bind((address(number, node, NODE_AT), 0))?.local_addr()?;
+            let listen = node_address(number, node);
             let config = node::config(experiment, NodeId(node), listen, discovery_doors[node], run.seed);
             let program = match (run.front, first_cache) {
                 (Front::Relays(lab), Some(to)) => Program::relay(lab, listen, to),
@@ -263,3 +270,29 @@
 pub fn scratch(name: &str, seed: u64) -> PathBuf {
     std::env::temp_dir().join(format!("granitelb-lab-{}", std::process::id())).join(format!("{name}-{seed}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_nodes_address_is_free_while_other_threads_start_programs() {
+        let starting = std::sync::atomic::AtomicBool::new(true);
+        std::thread::scope(|scope| {
+            for _ in 0..4 {
+                scope.spawn(|| {
+                    while starting.load(Ordering::Relaxed) {
+                        std::process::Command::new("/bin/true").status().expect("a program");
+                    }
+                });
+            }
+            // Runs that no world of the tests beside this one reaches.
+            let taken = (128..=255)
+                .flat_map(|run| (0..16).map(move |node| node_address(run, node)))
+                .filter(|at| std::net::TcpListener::bind(at).is_err())
+                .count();
+            starting.store(false, Ordering::Relaxed);
+            assert_eq!(taken, 0, "of 2,048");
+        });
+    }
+}
--- a/crates/lab/tests/auditor.rs
+++ b/crates/lab/tests/auditor.rs
@@ -2,6 +2,7 @@
 //! find nothing where nothing is wrong.
 
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use granitelb_lab::audit::Verdict;
 use granitelb_lab::experiment::Experiment;
@@ -73,9 +74,10 @@
 cold_from = 0.02
 "#;
 
-/// A program that stands in for the node with this vice.
-fn program(vice: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("stand-in-{vice}.sh"));
+/// A program that stands in for the node with this vice, for a world of this name.
+fn program(vice: &str, name: &str) -> PathBuf {
+    let file = format!("stand-in-{name}-{}.sh", std::process::id());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
     let lab = env!("CARGO_BIN_EXE_granitelb-lab");
     // It is started as the real program is: `serve --config FILE`.
     let text = format!("#!/bin/sh\nshift\nexec '{lab}' stand-in-node --vice {vice} \"$@\"\n");
@@ -91,9 +93,16 @@
 }
 
 fn judged(vice: &str, faults: &str) -> Verdict {
-    let text = WORLD.replace("NAME", &format!("auditor-{vice}")) + faults;
+    // Each world its own name: two tests have one vice, and with one name for both, the node of one read the other's
+    // configuration and found its address in use, or its program while that was written.
+    static WORLDS: AtomicU8 = AtomicU8::new(0);
+    let name = format!("auditor-{vice}-{}", WORLDS.fetch_add(1, Ordering::Relaxed));
+    let text = WORLD.replace("NAME", &name) + faults;
     let experiment = Experiment::read(Path::new("world.toml"), &text).expect("a sound experiment");
-    runs::play(&experiment, 7, &program(vice)).expect("a run").verdict
+    let program = program(vice, &name);
+    let played = runs::play(&experiment, 7, &program);
+    let _ = std::fs::remove_file(&program);
+    played.expect("a run").verdict
 }
 
 #[test_case("mute", "", "no final answer"; "a call without an answer")]
--- a/crates/node/tests/scenarios.rs
+++ b/crates/node/tests/scenarios.rs
@@ -198,7 +198,10 @@
             "Shapes": ["plain", "origin"], "Siblings": 1, "Zones": ["z"],
             "Specifics": {"Mode": "aside", "OriginKind": 1},
         });
-        let node = free(&address).local_addr().expect("an address");
+        // Chosen without a socket, under the ports that the system gives out: a child that another test forks while one
+        // holds the port would keep it until its exec, and the node would find its address in use.
+        let port = 16_384 + (std::process::id() % 16_384) as u16;
+        let node = SocketAddr::new(address.parse().expect("an address"), port);
         let config = json!({"name": "n", "listen": node.to_string(), "seed": "1f",
             "discovery": discovery.local_addr().expect("an address").to_string(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": settings});
