--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,8 +62,10 @@
 /// In-flight limits start so high over all nodes together, and are cut to this share.
 const FIRST_LIMIT: f64 = 12.0;
 const LIMIT_CUT: f64 = 0.7;
-/// Low limits grow by this share at most: small limits of many nodes settle where few shots meet a crowd.
-const LIMIT_GROWS: f64 = 0.3;
+/// Low limits grow by this share at most: small limits of many nodes settle where few shots meet a crowd. Those
+/// of caches grow slowly: where a cache works worse the more it holds, quicker ones keep it crowded for good.
+const LIMIT_GROWS: f64 = 0.1;
+const ORIGIN_GROWS: f64 = 0.3;
 /// Low enough to let a crowd of several nodes drain, high enough to notice soon that it has.
 const MIN_LIMIT: f64 = 0.25;
 /// An answer slower than this share of its SLO tells of a queue.
--- a/src/brain/caches.rs
+++ b/src/brain/caches.rs
@@ -12,13 +12,20 @@
     }
 
     /// A shot ended after `latency`, having met a crowd, none, or neither. `service` is how long one takes,
-    /// give or take by chance.
-    pub(super) fn learn(&mut self, now: Time, latency: Span, crowded: Option<bool>, service: Span) {
+    /// give or take by chance; `grows` what share a low limit gains at most.
+    pub(super) fn learn(
+        &mut self,
+        now: Time,
+        latency: Span,
+        crowded: Option<bool>,
+        service: Span,
+        grows: f64,
+    ) {
         let filled = self.in_flight >= self.most * 0.5;
         self.in_flight -= 1.0;
         match crowded {
             Some(true) => self.cut(now, latency),
-            Some(false) if filled => self.most += (self.most * LIMIT_GROWS).min(1.0 / self.most),
+            Some(false) if filled => self.most += (self.most * grows).min(1.0 / self.most),
             _ => {}
         }
         if self.most < 1.0 {
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -108,7 +108,7 @@
             Outcome::Lacking if slow => Some(true),
             _ => None,
         };
-        c.limit.learn(now, latency, crowded, rest);
+        c.limit.learn(now, latency, crowded, rest, if origin { ORIGIN_GROWS } else { LIMIT_GROWS });
         if outcome == Outcome::Full {
             // Repeated at once, shots that are turned away would become a crowded cache's whole work.
             c.limit.rest_until = c.limit.rest_until.max(now + service);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -223,6 +223,8 @@
         let (calls, every) = (number(words, "calls", 0.0) as u64, number(words, "every", 10.0));
         let keys = number(words, "keys", 100.0) as u64;
         let mut held: Option<String> = None;
+        // Calls that had no shot at once: one that has it by the next end is ended then.
+        let mut waiting: Vec<String> = Vec::new();
         for n in 0..calls {
             let name = format!("load{}", self.calls.len());
             let key = (n % keys).to_string();
@@ -230,7 +232,18 @@
             self.pull();
             let id = self.call(&name);
             self.now += span(every).0;
-            let Some(shots) = self.shots.get(&id) else { continue };
+            self.pull();
+            for name in std::mem::take(&mut waiting) {
+                let id = self.call(&name);
+                if self.shots.contains_key(&id) {
+                    self.end(&name, &words[1..]);
+                    self.pull();
+                }
+            }
+            let Some(shots) = self.shots.get(&id) else {
+                waiting.push(name);
+                continue;
+            };
             let holds = option(words, "hold").is_some_and(|c| self.caches[shots[0].0 as usize] == c);
             let due = if holds { held.replace(name) } else { Some(name) };
             if let Some(name) = due {
@@ -439,6 +452,7 @@
 #[test_case(scenario!("reported-stale"); "reported stale")]
 #[test_case(scenario!("reported-wait"); "reported wait")]
 #[test_case(scenario!("slow-rest"); "slow rest")]
+#[test_case(scenario!("slow-growth"); "slow growth")]
 #[test_case(scenario!("generations"); "generations")]
 #[test_case(scenario!("heavy"); "heavy")]
 #[test_case(scenario!("hopeless"); "hopeless")]
