--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -13,7 +13,8 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, Zipf};
 
-use crate::{Epoch, Follower, ForwarderId, Life, Plan, Planner, PlannerId, Report, Settings};
+use crate::wire::{Letter, Secret};
+use crate::{Epoch, Follower, ForwarderId, Life, Planner, PlannerId, Settings};
 
 /// What is played. Times are in seconds from the start.
 #[derive(Clone, Debug)]
@@ -33,6 +34,8 @@
     pub planners_dead: Option<(f64, f64)>,
     /// The share of reports and plans that never arrive.
     pub loss: f64,
+    /// The share of those that arrive with a bit changed.
+    pub spoilt: f64,
     /// A planner that says of every cache that it fails, and one forwarder that reports the same.
     pub liar: bool,
     pub seed: u64,
@@ -51,6 +54,7 @@
             hang: (8.0, 20.0),
             planners_dead: None,
             loss: 0.05,
+            spoilt: 0.0,
             liar: false,
             seed: 1,
         }
@@ -74,6 +78,10 @@
     pub back_after: Option<f64>,
     pub reports: usize,
     pub plans: usize,
+    /// In all of them.
+    pub bytes: usize,
+    /// Letters that were refused as what they are not.
+    pub refused: usize,
     /// Calls with more than one final answer, or none.
     pub unsound: usize,
 }
@@ -91,7 +99,7 @@
     Wake { forwarder: usize },
     Report { forwarder: usize },
     ReportComes { planner: usize, letter: usize },
-    PlanComes { forwarder: usize, planner: usize, letter: usize },
+    PlanComes { forwarder: usize, letter: usize },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -122,8 +130,8 @@
     events: BinaryHeap<Reverse<(Time, u64, What)>>,
     order: u64,
     calls: u64,
-    reports: Vec<Option<Report>>,
-    plans: Vec<Option<Plan>>,
+    secret: Secret,
+    letters: Vec<Option<Vec<u8>>>,
     /// Answered by hung caches and by the others, by tenths of a second after the hang's end.
     after: BTreeMap<u64, (usize, usize)>,
     came: Came,
@@ -194,8 +202,8 @@
             events: BinaryHeap::new(),
             order: 0,
             calls: 0,
-            reports: Vec::new(),
-            plans: Vec::new(),
+            secret: Secret::new(b"of all that are played").expect("long enough"),
+            letters: Vec::new(),
             after: BTreeMap::new(),
             came: Came::default(),
             ways: ChaCha8Rng::seed_from_u64(chance.random()),
@@ -230,11 +238,25 @@
         self.play.planners_dead.is_some_and(|(from, to)| self.now >= at(from) && self.now < at(to))
     }
 
-    /// A letter arrives after a while or never.
-    fn way(&mut self) -> Option<Span> {
+    /// Sends a letter, which arrives after a while or never; says which it is and when it does.
+    fn post(&mut self, letter: &Letter) -> Option<(usize, Span)> {
         let lost = self.ways.random::<f64>() < self.play.loss;
         let ms = self.ways.random_range(1..20);
-        (!lost).then_some(Span::from_millis(ms))
+        let mut bytes = letter.encode(&self.secret).ok().filter(|_| !lost)?;
+        if self.play.spoilt > 0.0 && self.ways.random::<f64>() < self.play.spoilt {
+            let bit = self.ways.random_range(0..bytes.len() * 8);
+            bytes[bit / 8] ^= 1 << (bit % 8);
+        }
+        self.came.bytes += bytes.len();
+        self.letters.push(Some(bytes));
+        Some((self.letters.len() - 1, Span::from_millis(ms)))
+    }
+
+    /// Opens a letter that has come, unless it is not what it says.
+    fn open(&mut self, letter: usize) -> Option<Letter> {
+        let read = Letter::decode(&self.letters[letter].take()?, &self.secret);
+        self.came.refused += usize::from(read.is_err());
+        read.ok()
     }
 
     fn run(&mut self) {
@@ -251,17 +273,17 @@
                     self.pull(forwarder);
                 }
                 What::ReportComes { planner, letter } => {
-                    let report = self.reports[letter].take().filter(|_| !self.planners_dead());
-                    if let Some(report) = report {
+                    let dead = self.planners_dead();
+                    if let Some(Letter::Report(report)) = self.open(letter).filter(|_| !dead) {
                         // A report that was passed over is told by the planner's count; nothing hangs on it here.
                         let _ = self.planners[planner].heard(self.now, &report);
                         self.send_plans(planner);
                     }
                 }
-                What::PlanComes { forwarder, planner, letter } => {
-                    let Some(plan) = self.plans[letter].take() else { continue };
+                What::PlanComes { forwarder, letter } => {
+                    let Some(Letter::Plan { from, plan }) = self.open(letter) else { continue };
                     let f = &mut self.forwarders[forwarder];
-                    f.follower.plan_came(self.now, PlannerId(planner as u8), plan);
+                    f.follower.plan_came(self.now, from, plan);
                     let advice = f.follower.advice(self.now);
                     f.brain.plan_heard(self.now, &advice);
                     self.pull(forwarder);
@@ -358,11 +380,10 @@
         if self.play.liar && n == 0 {
             report.caches.iter_mut().for_each(|s| (s.answered, s.failed) = (0.0, 1000.0));
         }
+        let report = Letter::Report(report);
         for planner in 0..self.planners.len() {
-            let Some(way) = self.way() else { continue };
+            let Some((letter, way)) = self.post(&report) else { continue };
             self.came.reports += 1;
-            self.reports.push(Some(report.clone()));
-            let letter = self.reports.len() - 1;
             self.later(way, What::ReportComes { planner, letter });
         }
     }
@@ -373,11 +394,10 @@
                 let fails = crate::Verdict::Fails { ago: Span::ZERO };
                 plan.verdicts = (0..self.play.caches as u64).map(|c| (CacheId(c), fails)).collect();
             }
-            let Some(way) = self.way() else { continue };
+            let plan = Letter::Plan { from: PlannerId(planner as u8), plan };
+            let Some((letter, way)) = self.post(&plan) else { continue };
             self.came.plans += 1;
-            self.plans.push(Some(plan));
-            let letter = self.plans.len() - 1;
-            self.later(way, What::PlanComes { forwarder: to.0 as usize, planner, letter });
+            self.later(way, What::PlanComes { forwarder: to.0 as usize, letter });
         }
     }
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,6 +7,7 @@
 mod planner;
 mod report;
 mod view;
+pub mod wire;
 
 pub use follower::{Follower, PlannerId};
 pub use planner::{Epoch, Plan, Planner, Settings, Version};
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -1,6 +1,6 @@
 //! A planner: merges what forwarders say, and says what it means.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use granitelb::ids::CacheId;
 use granitelb::units::{Span, Time};
@@ -68,8 +68,8 @@
     heard: Time,
     /// When it was told last, unless never.
     told: Option<Time>,
-    /// Whether it has said anything since.
-    due: bool,
+    /// When it may be told next, if it has said anything since.
+    due: Option<Time>,
     /// Shots out at each cache by its last report.
     out: BTreeMap<CacheId, f64>,
 }
@@ -80,8 +80,8 @@
     version: Version,
     forwarders: BTreeMap<ForwarderId, Known>,
     caches: BTreeMap<CacheId, View>,
-    /// Whom to look at next: forwarders are told in turn.
-    cursor: Option<ForwarderId>,
+    /// Who is to be told, by when: looked for among all of them, a plan would cost more the more there are.
+    due: BTreeSet<(Time, ForwarderId)>,
     swept: Time,
 }
 
@@ -93,7 +93,7 @@
             version: Version(0),
             forwarders: BTreeMap::new(),
             caches: BTreeMap::new(),
-            cursor: None,
+            due: BTreeSet::new(),
             swept: now,
         }
     }
@@ -115,6 +115,9 @@
             return Err(Nonsense::TooMany);
         }
         let told = known.and_then(|k| k.told);
+        let due =
+            known.and_then(|k| k.due).unwrap_or(told.map_or(now, |at| now.max(at + self.settings.beat)));
+        self.due.insert((due, report.from));
         self.forget_out(report.from);
         let mut out = BTreeMap::new();
         for seen in &report.caches {
@@ -124,21 +127,17 @@
             view.out += seen.out - out.insert(seen.cache, seen.out).unwrap_or(0.0);
         }
         let (life, number) = (report.life, report.number);
-        self.forwarders.insert(report.from, Known { life, number, heard: now, told, due: true, out });
+        self.forwarders.insert(report.from, Known { life, number, heard: now, told, due: Some(due), out });
         Ok(())
     }
 
     /// The next plan to send, and to whom; to be pulled until there is none.
     pub fn next_plan(&mut self, now: Time) -> Option<(ForwarderId, Plan)> {
         self.sweep(now);
-        let beat = self.settings.beat;
-        let due = |k: &Known| k.due && k.told.is_none_or(|at| now - at >= beat);
-        let after = self.cursor.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
-        let later = self.forwarders.range((after, std::ops::Bound::Unbounded));
-        let next = later.chain(self.forwarders.iter()).find(|(_, k)| due(k)).map(|(id, _)| *id)?;
-        self.cursor = Some(next);
+        let next = self.due.first().filter(|(at, _)| *at <= now)?.1;
+        self.due.pop_first();
         if let Some(known) = self.forwarders.get_mut(&next) {
-            (known.told, known.due) = (Some(now), false);
+            (known.told, known.due) = (Some(now), None);
         }
         self.version.0 += 1;
         let verdicts = self.caches.iter().filter_map(|(id, v)| Some((*id, v.verdict(now)?)));
@@ -183,7 +182,8 @@
             self.forwarders.iter().filter(|(_, k)| now - k.heard >= forgets).map(|(id, _)| *id).collect();
         for id in gone {
             self.forget_out(id);
-            self.forwarders.remove(&id);
+            let due = self.forwarders.remove(&id).and_then(|k| k.due);
+            due.map(|at| self.due.remove(&(at, id)));
         }
         self.caches.retain(|_, v| now - v.told < forgets);
     }
--- a/crates/plan/tests/planning.rs
+++ b/crates/plan/tests/planning.rs
@@ -163,12 +163,28 @@
     let lone = play(&small(0, 4));
     let dead = play(&Play { planners_dead: Some((0.0, 60.0)), ..small(2, 4) });
     assert_eq!((dead.in_time, dead.wasted), (lone.in_time, lone.wasted));
+    // Nor do letters that are all changed on their way: none is taken for what it says.
+    let spoilt = play(&Play { spoilt: 1.0, ..small(2, 4) });
+    assert_eq!((spoilt.in_time, spoilt.wasted), (lone.in_time, lone.wasted));
+    assert_eq!(spoilt.refused, spoilt.reports);
     // With a planner that calls every cache ill, and a forwarder that reports the same, calls keep their answers.
     let lied = play(&Play { liar: true, ..small(2, 4) });
     assert_eq!(lied.unsound, 0);
     assert!(lied.in_time * 100 > lone.in_time * 97, "{} and {}", lied.in_time, lone.in_time);
 }
 
+#[test]
+fn who_is_due_first_is_told_first() {
+    let mut p = planner();
+    p.heard(ms(0), &report(2, 1, 1.0, 0.0)).expect("sound");
+    p.heard(ms(10), &report(1, 1, 1.0, 0.0)).expect("sound");
+    let told: Vec<_> = std::iter::from_fn(|| p.next_plan(ms(10))).map(|(to, _)| to.0).collect();
+    assert_eq!(told, [2, 1]);
+    // One that is forgotten is not told.
+    p.heard(ms(20), &report(2, 2, 1.0, 0.0)).expect("sound");
+    assert!(p.next_plan(ms(20_000)).is_none());
+}
+
 #[test]
 fn one_seed_plays_one_way() {
     assert_eq!(play(&small(2, 5)), play(&small(2, 5)));
