Auditor: a node that stops in order owes what it took, also on connections that it had kept

Seen by a stand-in that ends at once at SIGTERM with calls out: 15 calls lost, none called a breach. A client whose kept connection ends asks once more on a new one, so that a call that had been taken came to be "node not reached" (crates/lab/src/audit/rules.rs, is_excused). Where a shot was sent for it, it was taken and is not excused. The new test a_node_that_stops_in_order_owes_what_it_took_and_nothing_else finds nothing on the text before.

--- a/crates/lab/src/audit/rules.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -120,8 +120,10 @@
     }
 
     fn is_excused(&self, t: &Try) -> bool {
-        // What found no connection was not taken.
-        let stopping = self.stopping.get(&t.node).filter(|_| t.end == TryEnd::Unreached);
+        // What found no connection was not taken, unless a shot was sent for it: its client had asked on a kept
+        // connection, which ended, and then once more.
+        let untaken = t.end == TryEnd::Unreached && self.shots_of(&t.id).is_empty();
+        let stopping = self.stopping.get(&t.node).filter(|_| untaken);
         let down = self.down.get(&t.node).into_iter().chain(stopping).flatten();
         down.into_iter().any(|(from, to)| t.sent <= *to && t.ended >= *from)
     }
@@ -151,6 +153,9 @@
                 TryEnd::Fulfilled { made_for, .. } if *made_for != t.id => {
                     Some("answer not made for the call")
                 }
+                TryEnd::Unreached if !self.shots_of(&t.id).is_empty() => {
+                    Some("connection ended without an answer")
+                }
                 TryEnd::Unreached => Some("node not reached"),
                 _ if took > timeout + SLACK_MS => Some("final answer after the client timeout"),
                 _ => None,
--- a/crates/lab/tests/auditor.rs
+++ b/crates/lab/tests/auditor.rs
@@ -124,6 +124,16 @@
     assert!(kinds.contains(&kind), "{vice}: found {kinds:?}");
 }
 
+/// The stand-in ends at once when it is told to stop, with calls out. What finds no connection until it is back was not
+/// taken; what it had taken it owes.
+#[test]
+fn a_node_that_stops_in_order_owes_what_it_took_and_nothing_else() {
+    let restart = "[[fault]]\nkind = \"node_restart\"\nat_s = 2\n";
+    let verdict = judged("none", &(SLOW.to_string() + restart));
+    let kinds: Vec<_> = verdict.breaches.iter().map(|b| b.kind).collect();
+    assert_eq!(kinds, ["connection ended without an answer"], "{:#?}", verdict.breaches);
+}
+
 #[test]
 fn stale_values_are_counted() {
     let verdict = judged("stale", "");
