Node's scenarios: the runner parted by concern, one file for each kind of verb

The table of scenarios and the notation's words stay in crates/node/tests/scenarios/main.rs; connections, the notation's parsing, the readers' tries and the stage with the verbs for discovery, caches, clients and the program have a file each. A verb is an arm of the play_... in the file of its concern.

--- /dev/null
+++ b/crates/node/tests/scenarios/stage/discovery.rs
@@ -0,0 +1,111 @@
+//! The discovery: lists and changes on the node's watch.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::{Cache, Stage};
+use crate::connection::{deafen, free};
+use crate::notation::option;
+
+impl Stage {
+    /// Plays the verbs for discovery; whether the line is one of these.
+    pub(super) fn play_discovery(&mut self, line: &str, words: &[&str]) -> bool {
+        match *words {
+            ["move-discovery"] => {
+                self.discovery = free(&self.address);
+                self.former = self.watch.take();
+                self.config["discovery"] =
+                    self.discovery.local_addr().expect("an address").to_string().into();
+            }
+            ["silenced"] => self.former = self.watch.take(),
+            ["former-change", ..] => {
+                std::mem::swap(&mut self.watch, &mut self.former);
+                self.play(line.strip_prefix("former-").expect("just seen"));
+                std::mem::swap(&mut self.watch, &mut self.former);
+            }
+            ["former-ended"] => {
+                self.until(line, |s| s.former.take_if(|f| f.ended));
+            }
+            ["known", ref names @ ..] => self.config["known"] = self.list(names, true),
+            ["watched", ref options @ ..] => {
+                let (head, mut conn) = self.until(line, |s| {
+                    s.asked.retain(|c| !c.ended);
+                    let at = s.asked.iter().position(|c| c.input.ends_with(b"\r\n\r\n"))?;
+                    let mut conn = s.asked.remove(at);
+                    Some((conn.message()?.0, conn))
+                });
+                let after = head.split(' ').nth(1).and_then(|t| t.split_once("&after=")).map(|a| a.1);
+                assert_eq!(after, option(options, "after"), "{line}: {head}");
+                if let Some(most) = option(options, "within") {
+                    let took = self.told.elapsed();
+                    assert!(took.as_millis() <= most.parse().expect("a time"), "{line}: {took:?}");
+                }
+                conn.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                self.watch = Some(conn);
+            }
+            ["unlisted"] => {
+                let mut conn = self.until(line, |s| s.asked.pop());
+                conn.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+            }
+            ["unwatched"] => self.watch = None,
+            ["list", ref names @ ..] => {
+                let list = self.list(names, true);
+                self.tell(&list.to_string());
+            }
+            ["change", ref names @ ..] => {
+                let list = self.list(names, false);
+                self.tell(&list.to_string());
+            }
+            ["beat"] => self.tell(""),
+            // The same over many lines.
+            ["indented", ref names @ ..] => {
+                let list = self.list(names, false);
+                self.tell(&format!("{list:#}"));
+            }
+            ["broken-off"] => self.tell("{\"rev\": 77,\n  \"all\": true,\n  \"targets\": ["),
+            ["garble"] => self.tell("{\"rev\": 9, \"targets\": [{\"uid\": 4}"),
+            ["deaf", "discovery"] => {
+                (self.deaf, self.fillers) = (true, deafen(&self.discovery));
+            }
+            ["hear", "discovery"] => (self.deaf, self.fillers) = (false, Vec::new()),
+            _ => return false,
+        }
+        true
+    }
+
+    pub(super) fn entry(&mut self, word: &str) -> Value {
+        if word == "?" {
+            return json!({"uid": 4, "endpoint": "nowhere"});
+        }
+        let (word, boot) = word.split_once('@').unwrap_or((word, "0"));
+        let (name, state) = word.split_once(':').unwrap_or((word, "active"));
+        let (name, at) = name.split_once('=').unwrap_or((name, name));
+        let address = self.address.clone();
+        let cache = self.caches.entry(at.to_string()).or_insert_with(|| {
+            let listener = free(&address);
+            Cache { endpoint: listener.local_addr().ok(), listener: Some(listener), ..Cache::default() }
+        });
+        let kind = if name == "origin" { "origin" } else { "plain" };
+        let now = || std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis() as u64;
+        let boot = match boot.strip_prefix("now") {
+            Some(before) => now() - before.strip_prefix('-').map_or(0, |ms| ms.parse().expect("a time")),
+            None => boot.parse().expect("a time"),
+        };
+        json!({"uid": format!("s-{name}"), "endpoint": cache.endpoint.expect("one").to_string(), "az": "z",
+            "model": kind, "pod_group": 0, "state": state, "capacity_hint": 1.0,
+            "boot_ms": boot})
+    }
+
+    fn list(&mut self, words: &[&str], all: bool) -> Value {
+        let entries: Vec<_> = words.iter().map(|w| self.entry(w)).collect();
+        self.revision += 1;
+        json!({"rev": self.revision, "all": all, "targets": entries})
+    }
+
+    fn tell(&mut self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        self.watch.as_mut().expect("a watch").write(chunk.as_bytes());
+        self.told = Instant::now();
+    }
+}
