A cache that one line of the list names twice is placed by the last word

`Driver::listings` looked up whether a list still names a placed cache by the first entry under its name (`told.iter().find`), while the entries are carried out in order and the module takes the last. A cache that is replaced under its name comes as `left` and `active` in one line where both fell between two lines: it was placed, taken for dropped and removed, and the module went on choosing it. Its shots were then never sent, until it was listed again.

Now the last entry is looked up.

--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -114,7 +114,8 @@
             }
             listings.push(*listing);
         }
-        let named = |id: &CacheId| told.iter().find(|(_, l)| l.cache == *id).map(|(_, l)| l.ready);
+        // A cache that was replaced under its name is named twice, with its end and its start: the last word holds.
+        let named = |id: &CacheId| told.iter().rfind(|(_, l)| l.cache == *id).map(|(_, l)| l.ready);
         for id in self.placed.keys() {
             match named(id) {
                 Some(true) => drop(self.dropped.remove(id)),
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -68,6 +68,7 @@
 #[test_case(include_str!("torn-answer.txt"); "torn_answer")]
 #[test_case(include_str!("unasked.txt"); "unasked")]
 #[test_case(include_str!("watch.txt"); "watch")]
+#[test_case(include_str!("watch-renamed.txt"); "watch_renamed")]
 fn play(text: &str) {
     let mut stage = None;
     let lines: Vec<_> =
