--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -6,7 +6,9 @@
 //!
 //! `watched [after=N] [within=MS]` the node asks for the list, so soon after the last line; `list NAME ...`, `change NAME ...` tell it, a name may carry
 //! `:STATE` and `@BOOT_MS` (`@now-MS`), and before them `=OTHER`, at whose address it is; `beat`, `garble` send an empty line and one that is no list; `unlisted` refuses,
-//! `unwatched` ends the watch. `reload [K=JSON ...]` changes the configuration's file and has it read again; with
+//! `unwatched` ends the watch; `called` is `watched` with no answer yet, and `while=drips` or `while=beats` goes on writing what is no whole line,
+//! or empty lines, on the watch before; `hints` answers that one is on its way, `heads` with a head alone; `waits MS` the call is left open and no other
+//! made; `spread NAME ...` is `change` over lines as in the protocol's examples, `half NAME ...` the first half of it; `back-to N` the next list follows revision N. `reload [K=JSON ...]` changes the configuration's file and has it read again; with
 //! `move-discovery` it names another address from the next time on, and `former-change NAME ...`, `former-ended` are as
 //! before on the watch at the last one; so they are after `silenced`, by which nothing more is said on the watch. `call CLIENT PRODUCT KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`
 //! write; `leave CLIENT` closes, `tear CLIENT` resets. `calm MS` the node hardly uses its core. `shot CACHE ID [put=BODY]` a shot arrives, an upper-case name standing for
@@ -68,7 +70,16 @@
 #[test_case(include_str!("torn-answer.txt"); "torn_answer")]
 #[test_case(include_str!("unasked.txt"); "unasked")]
 #[test_case(include_str!("watch.txt"); "watch")]
+#[test_case(include_str!("watch-broken-off.txt"); "watch_broken_off")]
+#[test_case(include_str!("watch-drips.txt"); "watch_drips")]
+#[test_case(include_str!("watch-first-beat.txt"); "watch_first_beat")]
+#[test_case(include_str!("watch-hinted.txt"); "watch_hinted")]
+#[test_case(include_str!("watch-moved-while-refused.txt"); "watch_moved_while_refused")]
+#[test_case(include_str!("watch-older-list.txt"); "watch_older_list")]
 #[test_case(include_str!("watch-renamed.txt"); "watch_renamed")]
+#[test_case(include_str!("watch-slow-answer.txt"); "watch_slow_answer")]
+#[test_case(include_str!("watch-spread.txt"); "watch_spread")]
+#[test_case(include_str!("watch-unanswered.txt"); "watch_unanswered")]
 fn play(text: &str) {
     let mut stage = None;
     let lines: Vec<_> =
--- a/crates/node/tests/scenarios/stage/discovery.rs
+++ b/crates/node/tests/scenarios/stage/discovery.rs
@@ -1,6 +1,6 @@
 //! The discovery: lists and changes on the node's watch.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -8,6 +8,9 @@
 use crate::connection::{deafen, free};
 use crate::notation::option;
 
+/// How often something is written while a call is waited for.
+const DRIP: Duration = Duration::from_millis(100);
+
 impl Stage {
     /// Plays the verbs for discovery; whether the line is one of these.
     pub(super) fn play_discovery(&mut self, line: &str, words: &[&str]) -> bool {
@@ -29,7 +32,17 @@
             }
             ["known", ref names @ ..] => self.config["known"] = self.list(names, true),
             ["watched", ref options @ ..] => {
-                let (head, mut conn) = self.until(line, |s| {
+                self.play(&format!("called {}", options.join(" ")));
+                self.play("heads");
+            }
+            ["called", ref options @ ..] => {
+                let meanwhile = option(options, "while").map(|what| if what == "beats" { "\n" } else { " " });
+                let mut next = Instant::now();
+                let (head, conn) = self.until(line, |s| {
+                    if let Some(text) = meanwhile.filter(|_| next <= Instant::now()) {
+                        s.write_chunk(text);
+                        next = Instant::now() + DRIP;
+                    }
                     s.asked.retain(|c| !c.ended);
                     let at = s.asked.iter().position(|c| c.input.ends_with(b"\r\n\r\n"))?;
                     let mut conn = s.asked.remove(at);
@@ -41,8 +54,22 @@
                     let took = self.told.elapsed();
                     assert!(took.as_millis() <= most.parse().expect("a time"), "{line}: {took:?}");
                 }
-                conn.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 self.watch = Some(conn);
+                self.told = Instant::now();
+            }
+            ["heads"] => {
+                let watch = self.watch.as_mut().expect("a call");
+                watch.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            }
+            ["hints"] => self.watch.as_mut().expect("a call").write(b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+            ["waits", ms] => {
+                let end = Instant::now() + Duration::from_millis(ms.parse().expect("a time"));
+                while Instant::now() < end {
+                    self.poll();
+                    assert!(!self.watch.as_ref().expect("a call").ended, "{line}: it was given up");
+                    assert!(self.asked.is_empty(), "{line}: another was made");
+                    std::thread::sleep(Duration::from_millis(1));
+                }
             }
             ["unlisted"] => {
                 let mut conn = self.until(line, |s| s.asked.pop());
@@ -63,6 +90,21 @@
                 let list = self.list(names, false);
                 self.tell(&format!("{list:#}"));
             }
+            // As the protocol's page shows it: an entry a line, and all that is open ended with the last one.
+            ["spread", ref names @ ..] => {
+                let list = self.list(names, false);
+                let entries: Vec<_> = names.iter().map(|w| format!("\n  {}", self.entry(w))).collect();
+                self.tell(&format!(
+                    "{{\"rev\":{},\"all\":false,\"targets\":[{}]}}",
+                    list["rev"],
+                    entries.join(",")
+                ));
+            }
+            ["half", ref names @ ..] => {
+                let list = self.list(names, false).to_string();
+                self.write_chunk(&list[..list.len() / 2]);
+            }
+            ["back-to", revision] => self.revision = revision.parse().expect("a revision"),
             ["broken-off"] => self.tell("{\"rev\": 77,\n  \"all\": true,\n  \"targets\": ["),
             ["garble"] => self.tell("{\"rev\": 9, \"targets\": [{\"uid\": 4}"),
             ["deaf", "discovery"] => {
@@ -104,8 +146,12 @@
     }
 
     fn tell(&mut self, line: &str) {
-        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-        self.watch.as_mut().expect("a watch").write(chunk.as_bytes());
+        self.write_chunk(&format!("{line}\n"));
         self.told = Instant::now();
     }
+
+    fn write_chunk(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        self.watch.as_mut().expect("a watch").write(chunk.as_bytes());
+    }
 }
