A call that is turned away after SIGHUP hears the advice of its own terms

Cause: give_up (src/brain/ending.rs) read the longest come-back time from the settings in force when the call is answered, not from those it was taken under, unlike its deadline, SLO and number of shots. Seen by reading; ruled out beside it: effect, window, SLO, value and timeout go by the product's id, which changes with its terms (Decoded::after), and max_shots is kept with the call already. Change: the time is reckoned once, in api_call, and kept with the open call. All tests of the module pass.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -272,6 +272,7 @@
             patience_end: now + slo.scaled(PATIENCE),
             shots: Vec::new(),
             most_shots: self.settings.max_shots as usize,
+            come_back: product.slo.scaled(COME_BACK).min(self.settings.max_come_back),
             may_have_run: None,
             passed: Vec::new(),
             lacking: false,
--- a/src/brain/ending.rs
+++ b/src/brain/ending.rs
@@ -10,9 +10,11 @@
             Effect::Idempotent | Effect::Deduplicated { scope: DedupScope::All, .. } => true,
             _ => open.first_risky().is_none(),
         };
-        let come_back =
-            self.product(open.call.product).slo.scaled(COME_BACK).min(self.settings.max_come_back);
-        self.answer(id, if harmless { Answer::RateLimited { come_back } } else { Answer::Errored });
+        let answer = match harmless {
+            true => Answer::RateLimited { come_back: open.come_back },
+            false => Answer::Errored,
+        };
+        self.answer(id, answer);
     }
 
     /// The gate that every final answer of ours passes: one for each open call, and nothing after it.
--- a/src/open_call.rs
+++ b/src/open_call.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::ApiCall;
 use crate::ids::CacheId;
-use crate::units::Time;
+use crate::units::{Span, Time};
 
 /// A shot that was sent.
 #[derive(Clone, Copy)]
@@ -25,6 +25,8 @@
     pub shots: Vec<Sent>,
     /// How many it may have, by the settings that it was taken under.
     pub most_shots: usize,
+    /// When its client is asked to come again if it is turned away, by the same settings.
+    pub come_back: Span,
     /// The first shot that may have run.
     pub may_have_run: Option<usize>,
     /// Caches that lacked the key or did not serve it.
