A pipelined call's time counts from its last byte, not from its turn

Cause: Clients::take gave each call its whole timeout from the moment it was taken off the input. One that waited behind another on its connection was sent on with time that its client no longer had, told its cache too much, and could be answered after its time. Change: Arrivals keeps when the input's bytes came; a call's budget is what is left from its last byte, and one with nothing left is refused with 503 and the time to come back at, unsent, its connection kept. Its SLO still counts from its turn, within that budget. Test pipelined-times: before, 'shot a r2 left=800: waits for 1100 ms'.

--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -7,6 +7,7 @@
 use granitelb::units::{Span, Time};
 use granitelb_settings::Names;
 
+use super::arrivals::Arrivals;
 use super::exchange::{Exchanges, FinalAnswer};
 use crate::protocol::{Assembler, Fault, Head, Message, Side, write_answer, write_plain};
 use crate::transport::{ConnId, Connection, End, Event, Listener, Owner, Ring, TimeOrder, Transport};
@@ -54,6 +55,7 @@
 struct Client {
     connection: Connection,
     calls: Assembler,
+    arrivals: Arrivals,
     doing: Doing,
     /// Whether the client was told to go on with a body it asked about.
     told_to_go_on: bool,
@@ -69,10 +71,11 @@
     }
 
     /// Takes in what has come, and says whether that was anything.
-    fn receive(&mut self, take_in: impl FnOnce(&mut Connection)) -> bool {
+    fn receive(&mut self, now: Time, take_in: impl FnOnce(&mut Connection)) -> bool {
         let held = self.connection.input.len();
         take_in(&mut self.connection);
         let came = self.connection.input.len() - held;
+        self.arrivals.note(came, now);
         came > 0
     }
 }
@@ -160,9 +163,9 @@
     pub fn accept(&mut self, transport: &mut Transport, listener: &mut Listener, now: Time) -> bool {
         let Some(connection) = listener.accept(transport, self.owner) else { return false };
         let id = connection.id;
-        let calls = Assembler::new(Side::Asking);
+        let (calls, arrivals) = (Assembler::new(Side::Asking), Arrivals::default());
         let (doing, told_to_go_on, keeps, is_new) = (Doing::Reading, false, true, true);
-        self.clients.insert(id, Client { connection, calls, doing, told_to_go_on, keeps, is_new });
+        self.clients.insert(id, Client { connection, calls, arrivals, doing, told_to_go_on, keeps, is_new });
         self.unwanted.set(id, now);
         transport.idle(id, now);
         transport.timers.set(id, now + WHOLE);
@@ -171,7 +174,7 @@
 
     pub fn event(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, event: Event) {
         let Some(client) = self.clients.get_mut(&event.id) else { return };
-        client.receive(|connection| connection.take_in(&event));
+        client.receive(now, |connection| connection.take_in(&event));
         self.go_on(transport, exchanges, now, event.id);
         // A call and its client's end may come at once, also after the event was told of. The end stands behind the call: it
         // is looked for before the call is told of, or it would be sent on for one who has gone.
@@ -191,7 +194,7 @@
     ) -> bool {
         for _ in 0..LOOKS {
             let Some(client) = self.clients.get_mut(&id) else { return true };
-            let came = client.receive(Connection::receive);
+            let came = client.receive(now, Connection::receive);
             self.go_on(transport, exchanges, now, id);
             if !came {
                 return true;
@@ -352,6 +355,7 @@
         self.unwanted.clear(id);
         client.keeps = message.head.keeps;
         let keep = client.keeps && !self.closing;
+        let came = client.arrivals.of_last_taken(client.connection.input.len()).unwrap_or(now);
         let output = &mut client.connection.output;
         if message.head.path().next() == Some("health") {
             let status = match message.head.path().nth(1) {
@@ -363,7 +367,12 @@
         } else {
             match self.offer.read_call(&message.head) {
                 Ok(_) if crowded => return self.turn_away(transport, now, id, 503),
-                Ok((call, name)) => {
+                Ok((mut call, name)) => {
+                    // Its time counts from its last byte: behind another on its connection it may have waited long.
+                    call.budget = (came + call.budget) - now;
+                    if call.budget == Span::ZERO {
+                        return self.refuse_late(transport, now, id);
+                    }
                     let Some(taken) = exchanges.take(id, call, name, message) else {
                         return self.turn_away(transport, now, id, 409);
                     };
@@ -381,6 +390,15 @@
         transport.timers.set(id, now + STALL);
     }
 
+    /// Refuses a call whose time was up before it was its turn: nothing was sent on for it.
+    fn refuse_late(&mut self, transport: &mut Transport, now: Time, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let keep = client.keeps && !self.closing;
+        write_own(&mut client.connection.output, 503, self.come_back, keep);
+        client.doing = Doing::Answering { keep };
+        transport.timers.set(id, now + STALL);
+    }
+
     /// Tells a client what is wrong with its message, and ends its connection with that.
     fn turn_away(&mut self, transport: &mut Transport, now: Time, id: ConnId, status: u16) {
         let Some(client) = self.clients.get_mut(&id) else { return };
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! and the server side know only the exchanges between them, and the driver carries what happened to the
 //! [`Brain`](granitelb::brain::Brain) and what it decides back.
 
+mod arrivals;
 mod clients;
 mod driver;
 mod exchange;
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -50,6 +50,7 @@
 #[test_case(include_str!("one-answer.txt"); "one_answer")]
 #[test_case(include_str!("outcomes.txt"); "outcomes")]
 #[test_case(include_str!("parsers.txt"); "parsers")]
+#[test_case(include_str!("pipelined-times.txt"); "pipelined_times")]
 #[test_case(include_str!("refused.txt"); "refused")]
 #[test_case(include_str!("late-up.txt"); "late_up")]
 #[test_case(include_str!("late-up-gone.txt"); "late_up_gone")]
