A stopping node ends late resters, answers late calls, and outlives answers on their way

Three faults between the stop signal and the end of the process.

are_done took a connection that lingers for done, so the process ended in the turn of its last answer. Over bytes that nobody had read that resets the connection, and what of the answer is still on its way is lost. It now waits for the clients' own end, 1 s at most and not past its own. Test stop-unread: before, 'waited in vain: answer c1 200' of 60,000 bytes.

close_idle ran once, 0.55 s after the signal: a connection that came to rest later stayed open until the process ended, and what was sent on it then was lost. Such a one now ends when it comes to rest, with a shutdown, so that nothing overtakes its last answer. Test stop-rested-late: before, 'waited in vain: ended c1'.

A message whose last byte came late was taken with its whole timeout, past the end of the process (longest timeout and 0.65 s). While the node stops calls have their answers within the longest timeout and 0.6 s. Test stop-late-call: before, its shot was told 1000 ms.

--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -100,7 +100,10 @@
     offer: Offer,
     /// When those beyond are told to come back; zero where they can't be told.
     come_back: Span,
-    closing: bool,
+    /// Once the node ends: by when every call has its answer.
+    closing: Option<Time>,
+    /// Whether connections between two calls are ended too.
+    idle_closed: bool,
 }
 
 /// What can be asked for.
@@ -119,8 +122,9 @@
     ) -> Clients {
         let offer = Offer { names, client_timeouts };
         let (clients, unwanted) = (BTreeMap::new(), TimeOrder::default());
-        let (most, beyond, many, closing) = (0, 0, 0, false);
-        let mut clients = Clients { owner, clients, unwanted, most, beyond, many, offer, come_back, closing };
+        let (most, beyond, many, closing, idle_closed) = (0, 0, 0, None, false);
+        let mut clients =
+            Clients { owner, clients, unwanted, most, beyond, many, offer, come_back, closing, idle_closed };
         clients.set_limits(limits);
         clients
     }
@@ -234,20 +238,23 @@
         }
     }
 
-    /// From now on connections end with the answer that is due on them.
-    pub fn begin_closing(&mut self) {
-        self.closing = true;
+    /// From now on connections end with the answer that is due on them, and calls that are taken have theirs by then.
+    pub fn begin_closing(&mut self, answered_by: Time) {
+        self.closing = Some(answered_by);
     }
 
-    /// Ends every connection that stands between two calls.
+    /// Ends every connection that stands between two calls, or comes to.
     pub fn close_idle(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time) {
+        self.idle_closed = true;
         let idle: Vec<_> = self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| self.evict(transport, exchanges, now, id));
     }
 
-    /// Whether nobody is owed anything: those that linger have had their answer.
+    /// Whether nobody is owed anything. Those that linger have been given their answer and may not have it yet: were the
+    /// process to end over bytes of theirs that nobody has read, their connections would be reset, and what of the
+    /// answer is on its way be lost.
     pub fn are_done(&self) -> bool {
-        self.clients.values().all(|c| matches!(c.doing, Doing::Lingering))
+        self.clients.is_empty()
     }
 
     /// Gives a final answer.
@@ -263,7 +270,7 @@
         if !matches!(client.doing, Doing::Waiting(waits_for) if waits_for == call) {
             return;
         }
-        let keep = client.keeps && !self.closing;
+        let keep = client.keeps && self.closing.is_none();
         let output = &mut client.connection.output;
         match answer {
             FinalAnswer::Fulfilled(message) => write_answer(output, message, keep),
@@ -286,10 +293,7 @@
             match client.doing {
                 Doing::Answering { .. } if !client.connection.output.is_empty() => break,
                 Doing::Answering { keep: false } => {
-                    client.connection.end_output();
-                    client.doing = Doing::Lingering;
-                    self.unwanted.set(id, now);
-                    transport.timers.set(id, now + LINGER);
+                    self.linger(transport, now, id);
                 }
                 Doing::Lingering => {
                     client.connection.input.clear();
@@ -311,7 +315,10 @@
             return self.end(transport, exchanges, id, end);
         }
         if let Doing::Reading = client.doing {
-            if client.is_idle() {
+            if client.is_idle() && self.idle_closed {
+                // Its last answer was begun before the node was told to end, and did not say so.
+                self.linger(transport, now, id);
+            } else if client.is_idle() {
                 transport.idle(id, now);
                 if !client.is_new {
                     transport.timers.set(id, now + IDLE);
@@ -322,9 +329,21 @@
                 transport.timers.set_first(id, now + WHOLE);
             }
         }
+        let Some(client) = self.clients.get_mut(&id) else { return };
         client.connection.rearm(transport);
     }
 
+    /// Tells a client that nothing more will come, and lets it finish: what it sends still is read and not heeded, since a
+    /// close over it would reset the connection.
+    fn linger(&mut self, transport: &mut Transport, now: Time, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.connection.end_output();
+        client.doing = Doing::Lingering;
+        self.unwanted.set(id, now);
+        transport.busy(id);
+        transport.timers.set(id, now + LINGER);
+    }
+
     /// A client that asked whether to send its body is told to, once.
     fn tell_to_go_on(&mut self, id: ConnId) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
@@ -354,12 +373,12 @@
         client.is_new = false;
         self.unwanted.clear(id);
         client.keeps = message.head.keeps;
-        let keep = client.keeps && !self.closing;
+        let keep = client.keeps && self.closing.is_none();
         let came = client.arrivals.of_last_taken(client.connection.input.len()).unwrap_or(now);
         let output = &mut client.connection.output;
         if message.head.path().next() == Some("health") {
             let status = match message.head.path().nth(1) {
-                Some("ready") if self.closing => 503,
+                Some("ready") if self.closing.is_some() => 503,
                 Some("ready" | "live") => 200,
                 _ => 404,
             };
@@ -369,7 +388,7 @@
                 Ok(_) if crowded => return self.turn_away(transport, now, id, 503),
                 Ok((mut call, name)) => {
                     // Its time counts from its last byte: behind another on its connection it may have waited long.
-                    call.budget = (came + call.budget) - now;
+                    call.budget = (came + call.budget).min(self.closing.unwrap_or(Time(u64::MAX))) - now;
                     if call.budget == Span::ZERO {
                         return self.refuse_late(transport, now, id);
                     }
@@ -393,7 +412,7 @@
     /// Refuses a call whose time was up before it was its turn: nothing was sent on for it.
     fn refuse_late(&mut self, transport: &mut Transport, now: Time, id: ConnId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let keep = client.keeps && !self.closing;
+        let keep = client.keeps && self.closing.is_none();
         write_own(&mut client.connection.output, 503, self.come_back, keep);
         client.doing = Doing::Answering { keep };
         transport.timers.set(id, now + STALL);
--- a/crates/node/src/routing/node.rs
+++ b/crates/node/src/routing/node.rs
@@ -39,6 +39,9 @@
 /// How long past the longest client timeout a stopping node stays for its calls: past the last that can have come,
 /// and within the 0.7 s that it has.
 const STAYS: Span = Span::from_millis(650);
+/// How long past the longest client timeout a stopping node's calls have their answers at the latest: those whose last
+/// byte came late too, before the node is gone.
+const ANSWERED: Span = Span::from_millis(600);
 /// How often the log says what calls came to.
 const TALLY: Span = Span::from_millis(60_000);
 /// A listener without room is asked again after this.
@@ -190,7 +193,7 @@
             Order::Stop => {
                 log::info!(event = "stopping"; "stopping: finishing what was taken");
                 self.stopping = Some(now);
-                self.clients.begin_closing();
+                self.clients.begin_closing(now + self.longest_call + ANSWERED);
             }
             Order::Reload(live) => {
                 let limits = live.limits();
