--- a/crates/node/src/routing/clients.rs
+++ b/crates/node/src/routing/clients.rs
@@ -7,6 +7,7 @@
 use granitelb::units::{Span, Time};
 use granitelb_settings::Names;
 
+use super::arrivals::Arrivals;
 use super::exchange::{Exchanges, FinalAnswer};
 use crate::protocol::{Assembler, Fault, Head, Message, Side, write_answer, write_plain};
 use crate::transport::{ConnId, Connection, End, Event, Listener, Owner, Ring, TimeOrder, Transport};
@@ -37,6 +38,8 @@
 /// How long one that was turned away may go on sending before its connection is cut: cut at once, the answer
 /// could be lost on its way.
 const LINGER: Span = Span::from_millis(1000);
+/// A last look at a connection reads so many times as much as is held of its input: more than a longest message.
+const LOOKS: usize = 8;
 
 enum Doing {
     /// Reads, or waits for, the next call.
@@ -52,6 +55,7 @@
 struct Client {
     connection: Connection,
     calls: Assembler,
+    arrivals: Arrivals,
     doing: Doing,
     /// Whether the client was told to go on with a body it asked about.
     told_to_go_on: bool,
@@ -65,6 +69,15 @@
     fn is_idle(&self) -> bool {
         matches!(self.doing, Doing::Reading) && self.calls.is_between() && self.connection.input.is_empty()
     }
+
+    /// Takes in what has come, and says whether that was anything.
+    fn receive(&mut self, now: Time, take_in: impl FnOnce(&mut Connection)) -> bool {
+        let held = self.connection.input.len();
+        take_in(&mut self.connection);
+        let came = self.connection.input.len() - held;
+        self.arrivals.note(came, now);
+        came > 0
+    }
 }
 
 /// What a node may use.
@@ -87,7 +100,10 @@
     offer: Offer,
     /// When those beyond are told to come back; zero where they can't be told.
     come_back: Span,
-    closing: bool,
+    /// Once the node ends: by when every call has its answer.
+    closing: Option<Time>,
+    /// Whether connections between two calls are ended too.
+    idle_closed: bool,
 }
 
 /// What can be asked for.
@@ -106,8 +122,9 @@
     ) -> Clients {
         let offer = Offer { names, client_timeouts };
         let (clients, unwanted) = (BTreeMap::new(), TimeOrder::default());
-        let (most, beyond, many, closing) = (0, 0, 0, false);
-        let mut clients = Clients { owner, clients, unwanted, most, beyond, many, offer, come_back, closing };
+        let (most, beyond, many, closing, idle_closed) = (0, 0, 0, None, false);
+        let mut clients =
+            Clients { owner, clients, unwanted, most, beyond, many, offer, come_back, closing, idle_closed };
         clients.set_limits(limits);
         clients
     }
@@ -150,9 +167,9 @@
     pub fn accept(&mut self, transport: &mut Transport, listener: &mut Listener, now: Time) -> bool {
         let Some(connection) = listener.accept(transport, self.owner) else { return false };
         let id = connection.id;
-        let calls = Assembler::new(Side::Asking);
+        let (calls, arrivals) = (Assembler::new(Side::Asking), Arrivals::default());
         let (doing, told_to_go_on, keeps, is_new) = (Doing::Reading, false, true, true);
-        self.clients.insert(id, Client { connection, calls, doing, told_to_go_on, keeps, is_new });
+        self.clients.insert(id, Client { connection, calls, arrivals, doing, told_to_go_on, keeps, is_new });
         self.unwanted.set(id, now);
         transport.idle(id, now);
         transport.timers.set(id, now + WHOLE);
@@ -161,19 +178,51 @@
 
     pub fn event(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, event: Event) {
         let Some(client) = self.clients.get_mut(&event.id) else { return };
-        client.connection.take_in(&event);
+        client.receive(now, |connection| connection.take_in(&event));
         self.go_on(transport, exchanges, now, event.id);
+        // A call and its client's end may come at once, also after the event was told of. The end stands behind the call: it
+        // is looked for before the call is told of, or it would be sent on for one who has gone.
+        let waits = self.clients.get(&event.id).is_some_and(|c| matches!(c.doing, Doing::Waiting(_)));
+        if event.last || event.over || waits {
+            self.take_all(transport, exchanges, now, event.id);
+        }
+    }
+
+    /// Takes in all that the system holds for a connection, an end too; whether that was all.
+    fn take_all(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        id: ConnId,
+    ) -> bool {
+        for _ in 0..LOOKS {
+            let Some(client) = self.clients.get_mut(&id) else { return true };
+            let came = client.receive(now, Connection::receive);
+            self.go_on(transport, exchanges, now, id);
+            if !came {
+                return true;
+            }
+        }
+        false
     }
 
     pub fn timer(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         match client.doing {
-            // Half a message: its sender is told before the connection ends.
-            Doing::Reading if !client.is_idle() => {
-                self.turn_away(transport, now, id, 408);
-                self.go_on(transport, exchanges, now, id);
+            // What stands in the system's buffers came in time: of a long message only a part is read in one turn.
+            Doing::Reading => {
+                self.take_all(transport, exchanges, now, id);
+                let Some(client) = self.clients.get(&id) else { return };
+                if client.is_idle() {
+                    self.end(transport, exchanges, id, End::Done);
+                } else if let Doing::Reading = client.doing {
+                    // Half a message: its sender is told before the connection ends.
+                    self.turn_away(transport, now, id, 408);
+                    self.go_on(transport, exchanges, now, id);
+                }
             }
-            Doing::Reading | Doing::Lingering => self.end(transport, exchanges, id, End::Done),
+            Doing::Lingering => self.end(transport, exchanges, id, End::Done),
             Doing::Waiting(_) | Doing::Answering { .. } => self.end(transport, exchanges, id, End::Silent),
         }
     }
@@ -181,27 +230,31 @@
     /// Closes a connection that is idle, has brought nothing whole or was told to end, after a last look for a call
     /// on it: one that has come is not to be lost.
     pub fn evict(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
-        self.event(transport, exchanges, now, Event { id, readable: true, over: false, last: false });
-        let spent = |c: &Client| c.is_idle() || c.is_new || matches!(c.doing, Doing::Lingering);
+        let looked = self.take_all(transport, exchanges, now, id);
+        let is_lingering = |c: &Client| matches!(c.doing, Doing::Lingering);
+        let spent = |c: &Client| looked && (c.is_idle() || c.is_new) || is_lingering(c);
         if self.clients.get(&id).is_some_and(spent) {
             self.end(transport, exchanges, id, End::Done);
         }
     }
 
-    /// From now on connections end with the answer that is due on them.
-    pub fn begin_closing(&mut self) {
-        self.closing = true;
+    /// From now on connections end with the answer that is due on them, and calls that are taken have theirs by then.
+    pub fn begin_closing(&mut self, answered_by: Time) {
+        self.closing = Some(answered_by);
     }
 
-    /// Ends every connection that stands between two calls.
+    /// Ends every connection that stands between two calls, or comes to.
     pub fn close_idle(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time) {
+        self.idle_closed = true;
         let idle: Vec<_> = self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, _)| *id).collect();
         idle.into_iter().for_each(|id| self.evict(transport, exchanges, now, id));
     }
 
-    /// Whether nobody is owed anything: those that linger have had their answer.
+    /// Whether nobody is owed anything. Those that linger have been given their answer and may not have it yet: were the
+    /// process to end over bytes of theirs that nobody has read, their connections would be reset, and what of the
+    /// answer is on its way be lost.
     pub fn are_done(&self) -> bool {
-        self.clients.values().all(|c| matches!(c.doing, Doing::Lingering))
+        self.clients.is_empty()
     }
 
     /// Gives a final answer.
@@ -217,7 +270,7 @@
         if !matches!(client.doing, Doing::Waiting(waits_for) if waits_for == call) {
             return;
         }
-        let keep = client.keeps && !self.closing;
+        let keep = client.keeps && self.closing.is_none();
         let output = &mut client.connection.output;
         match answer {
             FinalAnswer::Fulfilled(message) => write_answer(output, message, keep),
@@ -240,10 +293,7 @@
             match client.doing {
                 Doing::Answering { .. } if !client.connection.output.is_empty() => break,
                 Doing::Answering { keep: false } => {
-                    client.connection.end_output();
-                    client.doing = Doing::Lingering;
-                    self.unwanted.set(id, now);
-                    transport.timers.set(id, now + LINGER);
+                    self.linger(transport, now, id);
                 }
                 Doing::Lingering => {
                     client.connection.input.clear();
@@ -265,7 +315,10 @@
             return self.end(transport, exchanges, id, end);
         }
         if let Doing::Reading = client.doing {
-            if client.is_idle() {
+            if client.is_idle() && self.idle_closed {
+                // Its last answer was begun before the node was told to end, and did not say so.
+                self.linger(transport, now, id);
+            } else if client.is_idle() {
                 transport.idle(id, now);
                 if !client.is_new {
                     transport.timers.set(id, now + IDLE);
@@ -276,9 +329,21 @@
                 transport.timers.set_first(id, now + WHOLE);
             }
         }
+        let Some(client) = self.clients.get_mut(&id) else { return };
         client.connection.rearm(transport);
     }
 
+    /// Tells a client that nothing more will come, and lets it finish: what it sends still is read and not heeded, since a
+    /// close over it would reset the connection.
+    fn linger(&mut self, transport: &mut Transport, now: Time, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.connection.end_output();
+        client.doing = Doing::Lingering;
+        self.unwanted.set(id, now);
+        transport.busy(id);
+        transport.timers.set(id, now + LINGER);
+    }
+
     /// A client that asked whether to send its body is told to, once.
     fn tell_to_go_on(&mut self, id: ConnId) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
@@ -308,11 +373,12 @@
         client.is_new = false;
         self.unwanted.clear(id);
         client.keeps = message.head.keeps;
-        let keep = client.keeps && !self.closing;
+        let keep = client.keeps && self.closing.is_none();
+        let came = client.arrivals.of_last_taken(client.connection.input.len()).unwrap_or(now);
         let output = &mut client.connection.output;
         if message.head.path().next() == Some("health") {
             let status = match message.head.path().nth(1) {
-                Some("ready") if self.closing => 503,
+                Some("ready") if self.closing.is_some() => 503,
                 Some("ready" | "live") => 200,
                 _ => 404,
             };
@@ -320,7 +386,12 @@
         } else {
             match self.offer.read_call(&message.head) {
                 Ok(_) if crowded => return self.turn_away(transport, now, id, 503),
-                Ok((call, name)) => {
+                Ok((mut call, name)) => {
+                    // Its time counts from its last byte: behind another on its connection it may have waited long.
+                    call.budget = (came + call.budget).min(self.closing.unwrap_or(Time(u64::MAX))) - now;
+                    if call.budget == Span::ZERO {
+                        return self.refuse_late(transport, now, id);
+                    }
                     let Some(taken) = exchanges.take(id, call, name, message) else {
                         return self.turn_away(transport, now, id, 409);
                     };
@@ -338,6 +409,15 @@
         transport.timers.set(id, now + STALL);
     }
 
+    /// Refuses a call whose time was up before it was its turn: nothing was sent on for it.
+    fn refuse_late(&mut self, transport: &mut Transport, now: Time, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let keep = client.keeps && self.closing.is_none();
+        write_own(&mut client.connection.output, 503, self.come_back, keep);
+        client.doing = Doing::Answering { keep };
+        transport.timers.set(id, now + STALL);
+    }
+
     /// Tells a client what is wrong with its message, and ends its connection with that.
     fn turn_away(&mut self, transport: &mut Transport, now: Time, id: ConnId, status: u16) {
         let Some(client) = self.clients.get_mut(&id) else { return };
