Reader: a 204 or 304 ends with its head, whatever its headers tell of a body

Cause, from reading `Reader::framing`: the branch for statuses without a body stood behind those for Transfer-Encoding, so that a 304 that names the coding of the 200 it stands for (RFC 9110, 8.6 and RFC 9112, 6.3 allow it) was read as chunked: a call waited for chunks that never come, or took what followed for them. Ruled out: the same with Content-Length, which was passed over already.

Change: these statuses are looked at before the codings. Both framings at once are a fault as before where there is a body.

--- a/crates/node/src/protocol/reader.rs
+++ b/crates/node/src/protocol/reader.rs
@@ -205,15 +205,16 @@
                 return Err(Fault::Malformed);
             }
         }
+        // These have no body, whatever their headers tell of one (RFC 9112, 6.3).
+        if !asks && (head.status < 200 || head.status == 204 || head.status == 304) {
+            return Ok(Stage::Length(0));
+        }
         let codings: Vec<_> = head.values("transfer-encoding").collect();
         match (&codings[..], first) {
             // Two framings at once: whichever was meant, the other side of some hop reads the other.
             ([_, ..], Some(_)) => Err(Fault::Malformed),
             ([one], None) if one.eq_ignore_ascii_case(b"chunked") && self.newer => Ok(Stage::ChunkSize),
             ([_, ..], None) => Err(Fault::Malformed),
-            _ if !asks && (head.status < 200 || head.status == 204 || head.status == 304) => {
-                Ok(Stage::Length(0))
-            }
             ([], Some(length)) => Ok(Stage::Length(length)),
             ([], None) if asks => Ok(Stage::Length(0)),
             ([], None) => {
