A shot's message is written when its connection is up, behind one gate for its first byte

Seen by reading `Servers` for events that cross, each played over loopback in tests/servers.rs with the order forced: - `send` wrote the message as the shot was handed in, and a connection that was up later sent it as it stood: told 1200 ms of which 500 were left. (`hand_over` wrote it anew; a shot that stayed with its connection did not.) - `event` let it out when the connection came up in the very turn in which the call's time was up: timers come after events. - A connection that came up for a client that had left was ended (`go_on`), and so was the idle one that `late` had given such a shot; a recall ended one that was on its way too. None was at fault, and the next call paid for another. - What stood on a connection before its message, or came before its last byte, was taken for its answer: a 200 made for nobody served the call. A cache begins with a message once it has all of it. - A message was written, or the rest of it, to a connection whose end had been read: `Reset`, it may have run, where nothing had. A call that may not run twice failed for it. Ruled out: nothing goes to a cache that the list drops meanwhile (`forget` ends what is on its way); a reset never makes an answer whole, also one without a length (`go_on` asks for `End::Closed`; no call before `recv` takes the socket's error away and goes on).

Change: `gate` writes the message, with the time that is left, once the connection is up, its call waits, its time is not up, its cache has its place and nothing has come before. A shot of which nothing has left ends by `set_free`, and its connection waits for the next. A 200 that began to come early is no answer; 503 may come early, and interim answers too. `Servers` and `Exchanges` can be reached from tests, which turn the loop by their own clock.

--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -12,5 +12,7 @@
 mod watch;
 mod witness;
 
+pub use exchange::{Exchanges, FinalAnswer};
 pub use node::{Live, Node, Operator, Order, Setup};
 pub use outcome::{ShotFate, load_report};
+pub use servers::Servers;
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -1,4 +1,8 @@
 //! The server side: connections to the caches and the origin, and the shots on them.
+//!
+//! Invariants: a shot's first byte passes [`Servers::gate`], whichever connection it waited for, and its message is written
+//! only then, with the time that is left; a shot stands on one connection at a time; an answer goes to a call only after the
+//! last byte of its shot was written, and once.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -74,6 +78,10 @@
     /// When its connection has to be up.
     up_by: Time,
     give_up: Time,
+    /// How long its message is, once that was handed to its connection.
+    length: Option<usize>,
+    /// Whether something came on its connection before its last byte had left.
+    early: bool,
 }
 
 struct Link {
@@ -86,6 +94,19 @@
     since: Time,
 }
 
+impl Link {
+    /// Whether a byte of its shot has left.
+    fn has_begun(&self) -> bool {
+        let unsent = self.connection.output.len();
+        self.shot.as_ref().is_some_and(|s| s.length.is_some_and(|length| unsent < length))
+    }
+
+    /// Whether its shot's last byte has left.
+    fn is_written(&self) -> bool {
+        self.has_begun() && self.connection.output.is_empty()
+    }
+}
+
 pub struct Servers {
     owner: Owner,
     places: BTreeMap<CacheId, Place>,
@@ -157,16 +178,13 @@
                 Err(end) => return fail(exchanges, end),
             },
         };
-        let (Some(link), Some(message)) = (self.links.get_mut(&id), exchanges.message(shot.api_call)) else {
-            return fail(exchanges, End::Done);
-        };
-        write_call(&mut link.connection.output, message, shot.give_up_after.0 / 1000);
         let (give_up, up_by) = (now + shot.give_up_after, now + self.connect_limit);
-        let carried = Carried { call: shot.api_call, number, sent: now, up_by, give_up };
+        let carried =
+            Carried { call: shot.api_call, number, sent: now, up_by, give_up, length: None, early: false };
         self.carry(transport, exchanges, now, id, carried);
     }
 
-    /// A connection has a shot to carry, which is written to its output.
+    /// A connection has a shot to carry, which is written once it is up.
     fn carry(
         &mut self,
         transport: &mut Transport,
@@ -203,19 +221,27 @@
         let Some((cache, shot)) = self.links.get(&id).and_then(|l| Some((l.cache, l.shot.as_ref()?))) else {
             return;
         };
+        // Nothing is opened or taken for a call that has its answer; this connection stays for the next shot.
+        if !exchanges.is_waiting(shot.call) {
+            return self.set_free(transport, exchanges, now, id, End::Done);
+        }
         let again = self.places.get(&cache).map_or(shot.up_by, |p| now + p.late_after(self.connect_limit));
         transport.timers.set(id, again.min(shot.up_by).min(shot.give_up));
         if let Some(idle) = self.live_link(transport, now, cache) {
             return self.hand_over(transport, exchanges, now, id, idle);
         }
-        let is_spare = |id: &&ConnId| self.links.get(id).is_some_and(|l| l.shot.is_none());
-        let spares = self.places.get(&cache).map_or(0, |p| p.on_their_way.iter().filter(is_spare).count());
-        if spares < MOST_SPARE && transport.room() > MOST_SPARE {
+        if self.spares(cache) < MOST_SPARE && transport.room() > MOST_SPARE {
             // One that can't be begun leaves the shot where it is.
             let _ = self.begin(transport, now, cache);
         }
     }
 
+    /// How many connections to a cache are on their way that no shot waits for.
+    fn spares(&self, cache: CacheId) -> usize {
+        let is_spare = |id: &&ConnId| self.links.get(id).is_some_and(|l| l.shot.is_none());
+        self.places.get(&cache).map_or(0, |p| p.on_their_way.iter().filter(is_spare).count())
+    }
+
     /// The shot of a connection that is not up goes to one that is. The first goes on as a spare; nothing was written to
     /// it.
     fn hand_over(
@@ -228,18 +254,17 @@
     ) {
         let Some(late) = self.links.get_mut(&from).filter(|l| !l.connection.is_up()) else { return };
         let Some(shot) = late.shot.take() else { return };
-        late.connection.output.clear();
         transport.timers.set(from, now + SPARE_STAYS);
-        if let (Some(link), Some(message)) = (self.links.get_mut(&to), exchanges.message(shot.call)) {
-            write_call(&mut link.connection.output, message, (shot.give_up - now).0 / 1000);
-        }
         self.carry(transport, exchanges, now, to, shot);
     }
 
     /// A spare is up: it carries the shot that has waited longest for another to its cache, else it waits for the next.
     fn spare_is_up(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId) {
-        let Some(place) = self.links.get(&id).and_then(|l| self.places.get_mut(&l.cache)) else { return };
-        let has_shot = |id: &&ConnId| self.links.get(id).is_some_and(|l| l.shot.is_some());
+        let unharmed = |l: &&Link| l.connection.input.is_empty() && l.connection.ended().is_none();
+        let link = self.links.get(&id).filter(unharmed);
+        let Some(place) = link.and_then(|l| self.places.get_mut(&l.cache)) else { return };
+        let waits = |shot: &Carried| exchanges.is_waiting(shot.call);
+        let has_shot = |id: &&ConnId| self.links.get(id).is_some_and(|l| l.shot.as_ref().is_some_and(waits));
         if let Some(late) = place.on_their_way.iter().find(has_shot).copied() {
             return self.hand_over(transport, exchanges, now, late, id);
         }
@@ -289,8 +314,11 @@
         call: ApiCallId,
         number: ShotNumber,
     ) {
-        if let Some(id) = self.carriers.get(&(call, number)).copied() {
+        let Some(id) = self.carriers.get(&(call, number)).copied() else { return };
+        if self.links.get(&id).is_some_and(Link::has_begun) {
             self.end(transport, exchanges, now, id, End::Recalled);
+        } else {
+            self.set_free(transport, exchanges, now, id, End::Recalled);
         }
     }
 
@@ -303,6 +331,8 @@
             if link.connection.is_up() {
                 let took = now - link.since;
                 link.since = now;
+                // What stands there before the message is written is no answer to it.
+                link.connection.receive();
                 if let Some(place) = self.places.get_mut(&link.cache) {
                     place.on_their_way.retain(|i| *i != event.id);
                     place.came_up(took);
@@ -322,11 +352,11 @@
         let Some(link) = self.links.get(&id) else { return };
         let end = match &link.shot {
             None => End::Done,
-            Some(shot) if !link.connection.is_up() && shot.up_by.min(shot.give_up) > now => {
+            Some(shot) if shot.give_up <= now => End::GivenUp,
+            Some(shot) if !link.connection.is_up() && shot.up_by > now => {
                 return self.late(transport, exchanges, now, id);
             }
-            Some(shot) if shot.give_up > now => End::NeverUp,
-            Some(_) => End::GivenUp,
+            Some(_) => End::NeverUp,
         };
         self.end(transport, exchanges, now, id, end);
     }
@@ -350,12 +380,21 @@
             self.doubt(now, cache);
             return self.end(transport, exchanges, now, id, End::Malformed);
         }
-        // The gate of all that is written: for a call that has its answer nothing more goes out.
+        // For a call that has its answer the rest of a message does not go out either.
         let unwritten = link.shot.as_ref().filter(|_| !connection.output.is_empty());
-        if unwritten.is_some_and(|shot| !exchanges.is_waiting(shot.call)) {
+        if link.has_begun() && unwritten.is_some_and(|shot| !exchanges.is_waiting(shot.call)) {
             return self.end(transport, exchanges, now, id, End::Done);
         }
-        let written = connection.flush();
+        if let Err(end) = self.gate(exchanges, now, id) {
+            return self.set_free(transport, exchanges, now, id, end);
+        }
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let is_written = link.is_written();
+        let connection = &mut link.connection;
+        let has_come = !connection.input.is_empty();
+        link.shot.iter_mut().for_each(|shot| shot.early |= has_come && !is_written);
+        // To one that the cache has ended nothing more is written: what has not left yet never runs there.
+        let written = if connection.ended().is_none() { connection.flush() } else { Ok(()) };
         loop {
             let answer = match link.answers.next(&mut connection.input) {
                 Ok(Some(answer)) => Some(answer),
@@ -365,14 +404,20 @@
                 Err(_) => return self.end(transport, exchanges, now, id, End::Malformed),
             };
             let Some(answer) = answer else { break };
+            let Some(shot) = &link.shot else { break };
+            let mut place = self.places.get_mut(&link.cache);
+            // A cache begins with a message once it has all of it: this was made for no call that waits.
+            if answer.head.status == 200 && shot.early {
+                place.into_iter().for_each(|p| p.doubted_until = now + DOUBT);
+                return self.end(transport, exchanges, now, id, End::Malformed);
+            }
             let Some(shot) = link.shot.take() else { break };
             self.carriers.remove(&(shot.call, shot.number));
-            let clean = answer.head.keeps && connection.output.is_empty() && connection.input.is_empty();
+            let clean = answer.head.keeps && !shot.early && connection.input.is_empty();
             let usable = clean && connection.ended().is_none() && written.is_ok();
             let fate = ShotFate::Answered(answer);
             exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
             link.since = now;
-            let mut place = self.places.get_mut(&link.cache);
             if let Some(place) = place.as_mut().filter(|_| !connection.input.is_empty()) {
                 place.doubted_until = now + DOUBT;
             }
@@ -383,17 +428,79 @@
             transport.idle(id, now);
             transport.timers.set(id, now + self.keepalive);
         }
-        if let Some(end) = connection.ended().or(written.err()) {
+        // Word that an answer is on its way is no part of it.
+        let between = link.answers.is_between() && connection.input.is_empty();
+        link.shot.iter_mut().for_each(|shot| shot.early &= !between);
+        // Bytes came before the message was written, and are no answer.
+        let early = (connection.is_up() && link.shot.as_ref().is_some_and(|s| s.length.is_none()))
+            .then_some(End::Malformed);
+        if let Some(end) = connection.ended().or(written.err()).or(early) {
             return self.end(transport, exchanges, now, id, end);
         }
         connection.rearm(transport);
     }
 
+    /// The gate of each shot's first byte: it goes out while its call waits for it, before its time is up, and to where its
+    /// cache is. The message is written here, with the time that is left by now: a connection may have taken long to come
+    /// up. Where bytes have come before it, or the connection's end, it isn't written: they are looked at first.
+    fn gate(&mut self, exchanges: &Exchanges, now: Time, id: ConnId) -> Result<(), End> {
+        let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
+        let has_begun = link.has_begun();
+        let Some(shot) = link.shot.as_mut().filter(|_| link.connection.is_up() && !has_begun) else {
+            return Ok(());
+        };
+        let placed = self.places.get(&link.cache).is_some_and(|p| p.endpoint == link.endpoint);
+        let message = exchanges.message(shot.call).filter(|_| placed && exchanges.is_waiting(shot.call));
+        let message = message.ok_or(End::Done)?;
+        if shot.give_up <= now {
+            return Err(End::GivenUp);
+        }
+        let connection = &mut link.connection;
+        if shot.length.is_none() && connection.input.is_empty() && connection.ended().is_none() {
+            write_call(&mut connection.output, message, (shot.give_up - now).0 / 1000);
+            shot.length = Some(connection.output.len());
+        }
+        Ok(())
+    }
+
+    /// A shot of which nothing has left ends, and its connection waits for the next: it is not at fault.
+    fn set_free(
+        &mut self,
+        transport: &mut Transport,
+        exchanges: &mut Exchanges,
+        now: Time,
+        id: ConnId,
+        end: End,
+    ) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let Some(shot) = link.shot.take() else { return };
+        self.carriers.remove(&(shot.call, shot.number));
+        link.connection.output.clear();
+        let fate = ShotFate::Lost { end, whole: false };
+        exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
+        if !link.connection.is_up() {
+            let cache = link.cache;
+            transport.timers.set(id, now + SPARE_STAYS);
+            if self.spares(cache) > MOST_SPARE {
+                self.drop_link(transport, id, end);
+            }
+            return;
+        }
+        let usable = link.connection.ended().is_none() && link.connection.input.is_empty();
+        let place = self.places.get_mut(&link.cache).filter(|p| usable && p.endpoint == link.endpoint);
+        let Some(place) = place else { return self.drop_link(transport, id, end) };
+        link.since = now;
+        place.idle.push(id);
+        transport.idle(id, now);
+        transport.timers.set(id, now + self.keepalive);
+        link.connection.rearm(transport);
+    }
+
     /// A connection ends, and with it the shot on it.
     fn end(&mut self, transport: &mut Transport, exchanges: &mut Exchanges, now: Time, id: ConnId, end: End) {
         let Some(link) = self.links.get_mut(&id) else { return };
+        let whole = link.is_written();
         if let Some(shot) = link.shot.take() {
-            let whole = link.connection.is_up() && link.connection.output.is_empty();
             self.carriers.remove(&(shot.call, shot.number));
             let fate = ShotFate::Lost { end, whole };
             exchanges.shot_ended(shot.call, shot.number, link.cache, fate, now - shot.sent);
