A late second copy of an answer is told by its bytes, and the call gets the answer behind it

Cause: nothing in an answer says for which call it is, and a cache's first copy that comes some milliseconds late, on its only connection that is used again at once, stood where the next call's answer is due (`Servers::go_on` took the first whole one). The rest of 20 ms holds only where another connection has rested, or the cache was seen to do so before.

Change: an answer 200 with a body that equals, head and body, one that its connection gave within 250 ms is held to be a copy and passed over; what follows is the call's. Where nothing does in a quarter of the time left, it is given to nobody and the call may be sent on, and for five minutes none of that cache's answers is held to be a copy. Nor is any while no four answers in a row (of reads, of writes) have differed, as where each write is answered by the same word. No more connections, no rest; the rest that there is stays. Open: copies of 404 and 503, which are alike by nature.

Tests: on the text before three fail, `the copy was taken for the answer` twice and `left: Some([111, 110, 101]), right: Some([116, 104, 114, 101, 101])`. answers_that_never_differed_are_served_at_once holds there, and fails without `Telling::is_shown`.

--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -3,6 +3,7 @@
 //! [`Brain`](granitelb::brain::Brain) and what it decides back.
 
 mod clients;
+mod copies;
 mod driver;
 mod exchange;
 mod node;
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -11,6 +11,7 @@
 use granitelb::ids::{ApiCallId, CacheId, ShotNumber};
 use granitelb::units::{Span, Time};
 
+use super::copies::{Given, Telling};
 use super::exchange::Exchanges;
 use super::outcome::ShotFate;
 use crate::protocol::{Assembler, Side, write_call};
@@ -26,6 +27,11 @@
 /// new one is opened.
 const DOUBT: Span = Span::from_millis(10_000);
 
+/// After an answer that is held to be a copy, the one for the call is waited for this share of the time that is left to the
+/// call. Where none comes, this cache's answers are alike: for a while none of its is held to be a copy.
+const COPY_WAIT: f64 = 0.25;
+const ALIKE: Span = Span::from_millis(300_000);
+
 /// A connection that is not up after so many times the quickest one there, and so much more, is late: its first packet
 /// may be lost, and the system sends the next a second later. Then, and again after as long, its shot goes to one that has
 /// become idle; else another is begun beside it, and whichever is up first carries the shot. It was written to none
@@ -52,11 +58,15 @@
     quickest: Option<Span>,
     /// Until when it is held to send what nobody asked for.
     doubted_until: Time,
+    /// Until when its answers are known to be alike from call to call.
+    alike_until: Time,
 }
 
 impl Place {
     fn new(endpoint: SocketAddr) -> Place {
-        Place { endpoint, idle: Vec::new(), on_their_way: Vec::new(), quickest: None, doubted_until: Time(0) }
+        let (doubted_until, alike_until) = (Time(0), Time(0));
+        let (idle, on_their_way, quickest) = (Vec::new(), Vec::new(), None);
+        Place { endpoint, idle, on_their_way, quickest, doubted_until, alike_until }
     }
 
     /// Notes how long one took to come up.
@@ -90,6 +100,7 @@
     cache: CacheId,
     endpoint: SocketAddr,
     shot: Option<Carried>,
+    given: Given,
     /// When it was begun, came up, or its last answer came.
     since: Time,
 }
@@ -114,6 +125,8 @@
     carriers: BTreeMap<(ApiCallId, ShotNumber), ConnId>,
     connect_limit: Span,
     keepalive: Span,
+    /// Of reads, and of writes.
+    telling: [Telling; 2],
 }
 
 impl Servers {
@@ -125,6 +138,7 @@
             carriers: BTreeMap::new(),
             connect_limit,
             keepalive: keepalive.scaled(IDLE_SHARE),
+            telling: Default::default(),
         }
     }
 
@@ -212,7 +226,8 @@
         let (id, answers, endpoint) = (connection.id, Assembler::new(Side::Answering), place.endpoint);
         place.on_their_way.push(id);
         transport.timers.set(id, now + SPARE_STAYS);
-        self.links.insert(id, Link { connection, answers, cache, endpoint, shot: None, since: now });
+        let (shot, given) = (None, Given::default());
+        self.links.insert(id, Link { connection, answers, cache, endpoint, shot, given, since: now });
         Ok(id)
     }
 
@@ -356,7 +371,14 @@
             Some(shot) if !link.connection.is_up() && shot.up_by > now => {
                 return self.late(transport, exchanges, now, id);
             }
-            Some(_) => End::NeverUp,
+            Some(_) if !link.connection.is_up() => End::NeverUp,
+            // Nothing followed what was held to be a copy. It may have been the answer, or not: it is given to nobody.
+            Some(_) => {
+                if let Some(place) = self.places.get_mut(&link.cache) {
+                    place.alike_until = now + ALIKE;
+                }
+                End::Malformed
+            }
         };
         self.end(transport, exchanges, now, id, end);
     }
@@ -411,7 +433,18 @@
                 place.into_iter().for_each(|p| p.doubted_until = now + DOUBT);
                 return self.end(transport, exchanges, now, id, End::Malformed);
             }
+            // One that its connection gave a moment ago is that call's, come a second time: this call's follows it.
+            let alike = place.as_ref().is_some_and(|p| p.alike_until > now);
+            let writes = exchanges.message(shot.call).is_some_and(|m| m.head.method != "GET");
+            let telling = &mut self.telling[usize::from(writes)];
+            if !alike && telling.is_shown() && link.given.holds(now, &answer) {
+                place.into_iter().for_each(|p| p.doubted_until = now + DOUBT);
+                transport.timers.set_first(id, now + (shot.give_up - now).scaled(COPY_WAIT));
+                continue;
+            }
             let Some(shot) = link.shot.take() else { break };
+            link.given.note(now, &answer);
+            telling.note(&answer);
             self.carriers.remove(&(shot.call, shot.number));
             let clean = answer.head.keeps && !shot.early && connection.input.is_empty();
             let usable = clean && connection.ended().is_none() && written.is_ok();
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// The node has seen an answer that it holds to be a copy, and waits for the one that follows.
+    fn sees_a_copy(&mut self) {
+        let by = self.now + TIMEOUT.scaled(0.25);
+        self.until("a copy", |s| {
+            assert!(s.exchanges.next_ended().is_none(), "the copy was taken for the answer");
+            s.transport.timers.first().filter(|t| t.0 <= by)
+        });
+    }
+
     /// The node takes in what its sockets have, and then what its timers say.
     fn turn(&mut self) {
         for event in self.events() {
@@ -170,6 +179,22 @@
         came.is_ok()
     }
 
+    /// Serves some calls, each by another answer, over one connection; and rests.
+    fn has_served(&mut self) -> TcpStream {
+        let mut cache = None;
+        for n in 0..6 {
+            let call = self.read();
+            let cache = cache.get_or_insert_with(|| self.accept());
+            self.turn();
+            head(cache).expect("a message");
+            write(cache, &answer(&format!("before-{n}")));
+            assert_eq!(self.fate(call), Outcome::Fulfilled);
+            self.given(call);
+            self.pass(300);
+        }
+        cache.expect("a connection")
+    }
+
     /// How a shot ended, once it has.
     fn fate(&mut self, of: ApiCallId) -> Outcome {
         let ended = self.until("a shot's end", |s| s.exchanges.next_ended());
@@ -323,6 +348,99 @@
     assert_eq!(head(&mut cache), None);
 }
 
+/// The copy stands on the wire before the next call's own answer, however soon that one follows.
+#[test]
+fn a_late_second_copy_is_not_given_to_the_next_call() {
+    for apart in [true, false] {
+        let mut stage = Stage::new();
+        let mut cache = stage.has_served();
+        let first = stage.read();
+        head(&mut cache).expect("a message");
+        write(&mut cache, &answer("one"));
+        assert_eq!(stage.fate(first), Outcome::Fulfilled);
+        assert_eq!(stage.given(first), Some(b"one".to_vec()));
+        // Its only connection, and it hasn't rested.
+        stage.pass(1);
+        let second = stage.read();
+        head(&mut cache).expect("a message");
+        if apart {
+            write(&mut cache, &answer("one"));
+            stage.sees_a_copy();
+            stage.pass(3);
+            write(&mut cache, &answer("two"));
+        } else {
+            write(&mut cache, &format!("{}{}", answer("one"), answer("two")));
+        }
+        assert_eq!(stage.fate(second), Outcome::Fulfilled);
+        assert_eq!(stage.given(second), Some(b"two".to_vec()));
+    }
+}
+
+/// Not only of the answer just before: the connection may have carried more calls by then.
+#[test]
+fn a_second_copy_is_told_after_another_call_has_gone_over_its_connection() {
+    let mut stage = Stage::new();
+    let mut cache = stage.has_served();
+    for body in ["one", "two", "three"] {
+        let call = stage.read();
+        head(&mut cache).expect("a message");
+        if body == "three" {
+            write(&mut cache, &answer("one"));
+        }
+        write(&mut cache, &answer(body));
+        assert_eq!(stage.fate(call), Outcome::Fulfilled);
+        assert_eq!(stage.given(call), Some(body.into()));
+        stage.pass(2);
+    }
+}
+
+/// Where a cache's answers are alike by nature, one call is sent on for it, and those after it are served at once.
+#[test]
+fn answers_that_are_alike_cost_one_more_attempt_and_no_more() {
+    let mut stage = Stage::new();
+    let mut cache = stage.has_served();
+    let first = stage.read();
+    head(&mut cache).expect("a message");
+    write(&mut cache, &answer("ok"));
+    assert_eq!(stage.fate(first), Outcome::Fulfilled);
+    assert_eq!(stage.given(first), Some(b"ok".to_vec()));
+    let second = stage.read();
+    head(&mut cache).expect("a message");
+    write(&mut cache, &answer("ok"));
+    stage.sees_a_copy();
+    stage.pass(300);
+    assert_eq!(stage.fate(second), Outcome::Errored);
+    assert_eq!(stage.given(second), None);
+    let third = stage.read();
+    let mut cache = stage.accept();
+    stage.turn();
+    head(&mut cache).expect("a message");
+    write(&mut cache, &answer("ok"));
+    assert_eq!(stage.fate(third), Outcome::Fulfilled);
+    assert_eq!(stage.given(third), Some(b"ok".to_vec()));
+    stage.pass(30);
+    let fourth = stage.read();
+    head(&mut cache).expect("a message");
+    write(&mut cache, &answer("ok"));
+    assert_eq!(stage.fate(fourth), Outcome::Fulfilled);
+    assert_eq!(stage.given(fourth), Some(b"ok".to_vec()));
+}
+
+/// Where each write is answered by the same word, none of them waits, whatever reads are answered.
+#[test]
+fn answers_that_never_differed_are_served_at_once() {
+    let mut stage = Stage::new();
+    let mut cache = stage.has_served();
+    for _ in 0..6 {
+        let (call, _) = stage.send("PUT", b"value".to_vec());
+        head(&mut cache).expect("a message");
+        cache.read_exact(&mut [0; 5]).expect("a body");
+        write(&mut cache, &answer("ok"));
+        assert_eq!(stage.fate(call), Outcome::Fulfilled);
+        assert_eq!(stage.given(call), Some(b"ok".to_vec()));
+    }
+}
+
 /// Nothing is written to a connection whose end has come, so that what can't run twice may go elsewhere.
 #[test]
 fn a_call_is_not_written_to_a_connection_that_its_cache_has_ended() {
