A shot that is called off by the time alone is called off in that turn

Seen: a shot that its cache left unanswered was called off only at the next event or at its client's timeout, where nothing else happened at the node. Cause: `Driver::carry_out` asked for what is called off before it asked for shots and answers, and asking for these is what has the module look at the time (`Brain::advance`, `call_off_lost`); the alarm was spent by then, and `settle` saw nothing done. Ruled out: the module's own conditions, since the same shot is called off after 0.5 of the SLO once anything has the loop turn.

Change: it is asked for after them.

Test: scenario silent-cache, four caches and one call. On the text before: `waited in vain: shot B r1`.

--- a/crates/node/src/routing/driver.rs
+++ b/crates/node/src/routing/driver.rs
@@ -192,10 +192,6 @@
     fn carry_out(&mut self, sides: &mut Sides<'_>, now: Time) -> bool {
         let Sides { transport, exchanges, clients, servers, watch } = sides;
         let mut done = false;
-        while let Some((id, number)) = self.brain.next_recall() {
-            servers.recall(transport, exchanges, now, id, number);
-            done = true;
-        }
         while let Some(shot) = self.brain.next_shot(now) {
             if let Some(number) = exchanges.shoot(shot.api_call) {
                 if let Some(witness) = &mut self.witness {
@@ -212,6 +208,12 @@
             exchanges.settle(id, FinalAnswer::Own(answer));
             done = true;
         }
+        // After the shots and answers: asking for these is what has the decisions look at the time, and call shots off by it.
+        // One that was left until something else happens would be called off too late where little does.
+        while let Some((id, number)) = self.brain.next_recall() {
+            servers.recall(transport, exchanges, now, id, number);
+            done = true;
+        }
         while let Some((call, client, answer)) = exchanges.next_answer() {
             clients.answer(transport, exchanges, now, (call, client), &answer);
             done = true;
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -62,6 +62,7 @@
 #[test_case(include_str!("same-table.txt"); "same_table")]
 #[test_case(include_str!("second-answer.txt"); "second_answer")]
 #[test_case(include_str!("sent-much-and-left.txt"); "sent_much_and_left")]
+#[test_case(include_str!("silent-cache.txt"); "silent_cache")]
 #[test_case(include_str!("silent-watch.txt"); "silent_watch")]
 #[test_case(include_str!("starved.txt"); "starved")]
 #[test_case(include_str!("stop-idle.txt"); "stop_idle")]
