--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -4,6 +4,7 @@
 
 mod arrivals;
 mod clients;
+mod copies;
 mod driver;
 mod exchange;
 mod node;
@@ -13,5 +14,7 @@
 mod watch;
 mod witness;
 
+pub use exchange::{Exchanges, FinalAnswer};
 pub use node::{Live, Node, Operator, Order, Setup};
 pub use outcome::{ShotFate, load_report};
+pub use servers::Servers;
