Unit tests stand in files of their own

Eighteen sources held a 'mod tests { ... }' block; each is now 'mod tests;' with its text in tests.rs beside it, the same but for the indent (compared without whitespace; 409 test attributes before and after).

--- /dev/null
+++ b/crates/adapter/src/tests.rs
@@ -0,0 +1,58 @@
+use super::serve;
+
+const EMPTY: [u8; 16] = [0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x80, 0x5c, 0x5a];
+const REPLY: [u8; 8] = [0, 0, 0, 4, 0, 0, 0, 0];
+
+/// A frame of one record with this code and fields, and this tail.
+fn one_record(code: u16, fields: &[u8], tail: &[u8]) -> Vec<u8> {
+    let mut record = code.to_be_bytes().to_vec();
+    record.extend(fields);
+    record.resize(48, 0);
+    let length = (12 + 48 + tail.len()) as u32;
+    [&length.to_be_bytes(), &1u32.to_be_bytes(), &7u64.to_be_bytes()[..], &record, tail].concat()
+}
+
+fn play(input: &[u8]) -> Result<Vec<u8>, String> {
+    let mut output = Vec::new();
+    serve(&mut &input[..], &mut output).map(|()| output).map_err(|e| e.to_string())
+}
+
+#[test]
+fn empty_batches_and_events_for_strangers_get_empty_replies() {
+    let stranger = one_record(11, &[0, 3], &[]);
+    assert_eq!(play(&[&EMPTY[..], &stranger, &EMPTY].concat()), Ok(REPLY.repeat(3)));
+    assert_eq!(play(&[]), Ok(Vec::new()));
+}
+
+#[test]
+fn malformed_input_ends_with_one_plain_line() {
+    let outside = one_record(7, &[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 9], &[]);
+    let settings = one_record(10, &[0, 3, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2], b"{]");
+    for (input, word) in [
+        (&EMPTY[..9], "ends"),
+        (&EMPTY[..2], "ends"),
+        (&[0, 0, 0, 3, 1, 2, 3], "header"),
+        (&[&[0, 0, 0, 12, 0, 0, 0, 1][..], &[0; 8]].concat(), "records"),
+        (&outside, "tail"),
+        (&settings, "settings"),
+    ] {
+        let trouble = play(input).expect_err(word);
+        assert!(trouble.contains(word) && !trouble.contains('\n'), "{trouble}");
+    }
+}
+
+/// No input makes the decoder panic: every byte of a small frame is bent in turn, and cut.
+#[test]
+fn bent_frames_never_panic() {
+    let frames = (0..=14).map(|code| one_record(code, &[1; 40], &[2; 60]));
+    for mut frame in frames.chain([EMPTY.to_vec()]) {
+        for at in 4..frame.len() {
+            for bend in [1u8, 0x80, 0xff] {
+                frame[at] ^= bend;
+                let _ = play(&frame);
+                frame[at] ^= bend;
+            }
+            let _ = play(&frame[..at]);
+        }
+    }
+}
--- a/crates/fleet/src/days.rs
+++ b/crates/fleet/src/days.rs
@@ -28,11 +28,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_name_is_a_day() {
-        assert!(NAMES.iter().all(|name| named(name).is_some()));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/days/tests.rs
@@ -0,0 +1,6 @@
+use super::*;
+
+#[test]
+fn every_name_is_a_day() {
+    assert!(NAMES.iter().all(|name| named(name).is_some()));
+}
--- /dev/null
+++ b/crates/lab/src/audit/fleet/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+use crate::letters::{LEASES, Need, Sender, Signer};
+
+const SECRET: &[u8] = b"a secret of sixteen or more";
+
+fn letter(from: Member, to: Member, at: i64, message: &Lease) -> Carried {
+    let sender = Sender { member: Signer::Planner(1), life: 1, number: at as u64 };
+    let bytes = letters::write(SECRET, LEASES, sender, message).expect("a letter");
+    let (taken, passed) = (Moment(at), vec![Moment(at)]);
+    Carried { from, to, taken, passed, changed: false, bytes }
+}
+
+/// Two nodes get 60 of 100 from a planner, each for 2 s, the second one so long after the first.
+fn over_whole(second_after: i64) -> f64 {
+    let need = Need { resource: Resource::Origin, amount: 1, using: 0, heads: 1, has: 0 };
+    let ask = Lease::Ask { ask: 1, needs: vec![need] };
+    let grant = Lease::Grant { ask: 1, granted: vec![(Resource::Origin, 60_000)], lasts: 2_000_000 };
+    let planner = Member::Planner(0);
+    let mut book = Book { secret: SECRET.into(), ..Book::default() };
+    for (node, at) in [(0, 0), (1, second_after)] {
+        let node = Member::Node(node);
+        book.letters.push(letter(node, planner, at, &ask));
+        book.letters.push(letter(planner, node, at + 500, &grant));
+    }
+    let form = LeasesForm { origin_per_s: 100.0, reserve: 0.2, ..LeasesForm::default() };
+    Leases::read(&book).over_whole(&form, 2)
+}
+
+#[test]
+fn a_fall_when_planners_are_back_is_a_step() {
+    let text = "name = \"x\"\nabout = \"y\"\nseconds = 20\n[fleet]\nplanners = 1\n\
+        [[fault]]\nkind = \"planner_kill\"\nat_s = 4\nfor_s = 6\n";
+    let experiment = Experiment::read(std::path::Path::new("x.toml"), text).expect("a sound experiment");
+    let seconds = |low: f64| -> Vec<Second> {
+        let served = |n: usize| if (11..13).contains(&n) { low } else { 10.0 };
+        (0..20).map(|n| Second { asked: 10.0, served: served(n), ..Second::default() }).collect()
+    };
+    assert!((step(&experiment, &seconds(7.0)) - 0.3).abs() < 1e-9);
+    assert!(step(&experiment, &seconds(10.0)) < 1e-9);
+}
+
+#[test]
+fn a_cache_that_is_named_is_held_against_those_that_are_slow() {
+    let text = "name = \"x\"\nabout = \"y\"\nseconds = 9\n\
+        [[fault]]\nkind = \"slow\"\nat_s = 1\nfor_s = 6\nfactor = 3\ncaches = [1]\n";
+    let experiment = Experiment::read(std::path::Path::new("x.toml"), text).expect("a sound experiment");
+    let said = |name: &str, standing| {
+        let cache = letters::cache_number(name);
+        letters::Said { cache, product: 0, standing, more: 0.1, low: 0.0, high: 0.2 }
+    };
+    let all = [("a", Standing::AsGood), ("b", Standing::Worse), ("c", Standing::Worse)];
+    let message = Hindsight::Standing(all.iter().map(|(n, s)| said(n, *s)).collect());
+    let sender = Sender { member: Signer::Planner(1), life: 1, number: 1 };
+    let bytes = letters::write(SECRET, letters::HINDSIGHT, sender, &message).expect("a letter");
+    let mut book = Book { secret: SECRET.into(), ..Book::default() };
+    let (from, to, taken) = (Member::Planner(0), Member::Node(0), Moment(5));
+    book.letters.push(Carried { from, to, taken, passed: vec![taken], changed: false, bytes });
+    for (seat, name) in ["a", "b", "c"].into_iter().enumerate() {
+        let server = crate::book::ServerInfo { name: name.into(), seat: Some(seat), started: None };
+        book.servers.push(server);
+    }
+    assert_eq!(named(&experiment, &book), (1, 1));
+}
+
+/// A node has a lease and a standing part of one planner, and then a lesser standing part.
+#[test]
+fn a_standing_part_counts_beside_a_lease_until_the_next_one() {
+    let (node, planner) = (Member::Node(0), Member::Planner(0));
+    let need = Need { resource: Resource::Origin, amount: 1, using: 0, heads: 1, has: 0 };
+    let ask_standing = |ask| Lease::AskStanding { ask, need: 1, using: 0, to: 1, has: 0 };
+    let standing = |ask, amount| Lease::Standing { ask, amount, lasts: 20_000_000 };
+    let most = |second: u32| {
+        let mut book = Book { secret: SECRET.into(), ..Book::default() };
+        let grant = Lease::Grant { ask: 1, granted: vec![(Resource::Origin, 40_000)], lasts: 2_000_000 };
+        let lasting = [ask_standing(1), standing(1, 50_000), ask_standing(2), standing(2, second)];
+        let all = lasting.into_iter().chain([Lease::Ask { ask: 1, needs: vec![need] }, grant]);
+        for (n, message) in all.enumerate() {
+            let (from, to) = if n % 2 == 0 { (node, planner) } else { (planner, node) };
+            book.letters.push(letter(from, to, n as i64, &message));
+        }
+        let form = LeasesForm { origin_per_s: 100.0, reserve: 0.2, ..LeasesForm::default() };
+        Leases::read(&book).over_whole(&form, 2)
+    };
+    assert!((most(50_000) - 1.1).abs() < 1e-9 && (most(30_000) - 0.9).abs() < 1e-9);
+}
+
+#[test]
+fn leases_add_up_while_they_live_from_their_asks_on() {
+    assert!((over_whole(1_999_000) - 1.4).abs() < 1e-9);
+    assert!((over_whole(2_000_000) - 0.8).abs() < 1e-9);
+}
