Repeats go out in their window or not at all; shots leave descriptors for the watch on the list

Two faults found by reading.

Shot tells now for how long its first byte may go out (Brain::begin_by), and Servers::gate and timer keep to it; a shot whose time is up is let go as never sent, its connection stays.

Connection::begin asks for one free descriptor, whoever begins, so that shots, which run on for clients that have gone, could take all that is kept and leave none for the watch. Servers::begin leaves two.

Tests: a_repeat_tells_until_when_it_may_begin (module), a_repeat_goes_out_in_its_time_or_not_at_all, a_repeat_whose_connection_does_not_come_up_in_its_time_is_let_go, connections_to_caches_leave_room_for_the_list. With the arm in Servers::timer taken out the third one does not end (its timer comes due again at once); the others were not tried against the old lines.

--- a/crates/fleet/src/world/talk.rs
+++ b/crates/fleet/src/world/talk.rs
@@ -91,7 +91,7 @@
         let server = |l: &Listing| Listed {
             cache: l.cache,
             is_origin: l.kind == KindId(1),
-            zone: l.zone.0,
+            zone: l.zone.0 as u16,
             size: l.size,
             started: l.started,
             warm_after: WARM_AFTER,
--- a/crates/node/src/routing/servers.rs
+++ b/crates/node/src/routing/servers.rs
@@ -45,6 +45,9 @@
 /// Connections of a cache that may be on their way beside those that shots wait for: none is begun beyond, lest a cache
 /// that is cut off has the node open them without end.
 const MOST_SPARE: usize = 2;
+/// Descriptors that are left for the watch on the list, and for another beside a former one: shots of clients that have gone
+/// run on, and at silent caches they would take all, so that no drain is heard.
+const LEFT_FOR_LIST: usize = 2;
 /// One on its way that no shot waits for any more is let come up within this, for the next shot.
 const SPARE_STAYS: Span = Span::from_millis(2000);
 
@@ -87,6 +90,8 @@
     sent: Time,
     /// When its connection has to be up.
     up_by: Time,
+    /// When its first byte has to have left.
+    begin_by: Time,
     give_up: Time,
     /// How long its message is, once that was handed to its connection.
     length: Option<usize>,
@@ -94,6 +99,13 @@
     early: bool,
 }
 
+impl Carried {
+    /// Until when it waits for its connection.
+    fn waits_until(&self) -> Time {
+        self.up_by.min(self.begin_by).min(self.give_up)
+    }
+}
+
 struct Link {
     connection: Connection,
     answers: Assembler,
@@ -192,9 +204,10 @@
                 Err(end) => return fail(exchanges, end),
             },
         };
-        let (give_up, up_by) = (now + shot.give_up_after, now + self.connect_limit);
-        let carried =
-            Carried { call: shot.api_call, number, sent: now, up_by, give_up, length: None, early: false };
+        let (give_up, up_by, begin_by) =
+            (now + shot.give_up_after, now + self.connect_limit, now + shot.begin_within);
+        let (call, sent, length, early) = (shot.api_call, now, None, false);
+        let carried = Carried { call, number, sent, up_by, begin_by, give_up, length, early };
         self.carry(transport, exchanges, now, id, carried);
     }
 
@@ -213,7 +226,7 @@
         transport.timers.set(id, shot.give_up);
         if !link.connection.is_up() {
             let late = self.places.get(&link.cache).map_or(Span::ZERO, |p| p.late_after(self.connect_limit));
-            transport.timers.set(id, (now + late).min(shot.up_by).min(shot.give_up));
+            transport.timers.set(id, (now + late).min(shot.waits_until()));
         }
         link.shot = Some(shot);
         self.go_on(transport, exchanges, now, id);
@@ -222,6 +235,9 @@
     /// Begins a connection to a cache that has a place. Until a shot waits for it, it is a spare.
     fn begin(&mut self, transport: &mut Transport, now: Time, cache: CacheId) -> Result<ConnId, End> {
         let place = self.places.get_mut(&cache).ok_or(End::Done)?;
+        if transport.room() <= LEFT_FOR_LIST {
+            return Err(End::NoDescriptor);
+        }
         let connection = Connection::begin(transport, place.endpoint, self.owner)?;
         let (id, answers, endpoint) = (connection.id, Assembler::new(Side::Answering), place.endpoint);
         place.on_their_way.push(id);
@@ -241,7 +257,7 @@
             return self.set_free(transport, exchanges, now, id, End::Done);
         }
         let again = self.places.get(&cache).map_or(shot.up_by, |p| now + p.late_after(self.connect_limit));
-        transport.timers.set(id, again.min(shot.up_by).min(shot.give_up));
+        transport.timers.set(id, again.min(shot.waits_until()));
         if let Some(idle) = self.live_link(transport, now, cache) {
             return self.hand_over(transport, exchanges, now, id, idle);
         }
@@ -368,6 +384,9 @@
         let end = match &link.shot {
             None => End::Done,
             Some(shot) if shot.give_up <= now => End::GivenUp,
+            Some(shot) if !link.connection.is_up() && shot.begin_by <= now => {
+                return self.set_free(transport, exchanges, now, id, End::Done);
+            }
             Some(shot) if !link.connection.is_up() && shot.up_by > now => {
                 return self.late(transport, exchanges, now, id);
             }
@@ -473,8 +492,8 @@
         connection.rearm(transport);
     }
 
-    /// The gate of each shot's first byte: it goes out while its call waits for it, before its time is up, and to where its
-    /// cache is. The message is written here, with the time that is left by now: a connection may have taken long to come
+    /// The gate of each shot's first byte: it goes out while its call waits for it, before its time to begin is up, and to
+    /// where its cache is. The message is written here, with the time that is left by now: a connection may have taken long to come
     /// up. Where bytes have come before it, or the connection's end, it isn't written: they are looked at first.
     fn gate(&mut self, exchanges: &Exchanges, now: Time, id: ConnId) -> Result<(), End> {
         let Some(link) = self.links.get_mut(&id) else { return Ok(()) };
@@ -488,6 +507,10 @@
         if shot.give_up <= now {
             return Err(End::GivenUp);
         }
+        // A repeat that goes out later is dropped by nobody.
+        if shot.begin_by <= now {
+            return Err(End::Done);
+        }
         let connection = &mut link.connection;
         if shot.length.is_none() && connection.input.is_empty() && connection.ended().is_none() {
             write_call(&mut connection.output, message, (shot.give_up - now).0 / 1000);
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -72,6 +72,11 @@
 
     /// A call comes, and is sent to the cache.
     fn send(&mut self, method: &str, body: Vec<u8>) -> (ApiCallId, ShotNumber) {
+        self.send_within(TIMEOUT, method, body)
+    }
+
+    /// The same, by a shot that may begin for so long.
+    fn send_within(&mut self, begin_within: Span, method: &str, body: Vec<u8>) -> (ApiCallId, ShotNumber) {
         self.calls += 1;
         let head = Head {
             method: method.into(),
@@ -84,7 +89,7 @@
         let (name, message) = (format!("r{}", self.calls).into(), Message { head, body });
         let id = self.exchanges.take(self.client, call, name, message).expect("a new name");
         let number = self.exchanges.shoot(id).expect("a call that waits");
-        let shot = Shot { api_call: id, cache: CACHE, give_up_after: TIMEOUT };
+        let shot = Shot { api_call: id, cache: CACHE, give_up_after: TIMEOUT, begin_within };
         self.servers.send(&mut self.transport, &mut self.exchanges, self.now, &shot, number);
         (id, number)
     }
@@ -559,3 +564,48 @@
         assert_eq!(stage.given(call), served.then_some(b"all".to_vec()), "{rest:?}, torn: {torn}");
     }
 }
+
+#[test]
+fn a_repeat_goes_out_in_its_time_or_not_at_all() {
+    for in_time in [true, false] {
+        let mut stage = Stage::new();
+        let (call, _) = stage.send_within(Span::from_millis(200), "PUT", b"v".to_vec());
+        let mut cache = stage.accept();
+        stage.pass(if in_time { 199 } else { 200 });
+        if in_time {
+            stage.turn();
+            assert!(head(&mut cache).expect("a message").starts_with("PUT "));
+        } else {
+            // Its connection's coming up and the end of its time are seen in one turn.
+            assert_eq!(stage.fate(call), Outcome::Moot);
+            assert!(is_silent(&mut cache));
+        }
+    }
+}
+
+#[test]
+fn a_repeat_whose_connection_does_not_come_up_in_its_time_is_let_go() {
+    let mut stage = Stage::new();
+    let (call, _) = stage.send_within(Span::from_millis(200), "PUT", b"v".to_vec());
+    stage.pass(200);
+    stage.timers();
+    let ended = stage.exchanges.next_ended().expect("it has ended");
+    assert_eq!((ended.call, ended.end.outcome), (call, Outcome::Moot));
+    // Its connection stays for the next call.
+    let mut cache = stage.accept();
+    stage.turn();
+    assert!(is_silent(&mut cache));
+}
+
+#[test]
+fn connections_to_caches_leave_room_for_the_list() {
+    let mut stage = Stage::new();
+    stage.transport.set_most(5);
+    for _ in 0..3 {
+        stage.read();
+    }
+    assert_eq!(stage.transport.room(), 2);
+    let refused = stage.read();
+    assert_eq!(stage.fate(refused), Outcome::Moot);
+    assert_eq!(stage.transport.room(), 2);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -82,6 +82,8 @@
 const PATIENT_WORK: f64 = 8.0;
 /// Where its work is not told: so many typical answers' times, which have waits in them.
 const PATIENT_TYPICAL: f64 = 2.5;
+/// A deduplicated call is repeated in this share of its window: the shot has to arrive and wait its turn there.
+const REPEATED_IN: f64 = 0.5;
 /// Advice leaves out so great a part of the caches at the most.
 const MINORITY: f64 = 0.34;
 /// Cold caches are sent at most so many times what warm size carried of late, where calls ask for more.
@@ -383,8 +385,7 @@
     /// How many entries are kept of calls, keys and caches; however long it lives, this has a bound.
     pub fn entries(&self) -> usize {
         let sent = self.alarms.len() + self.out.len() + self.fetching.len() + self.recalls.len();
-        let known = self.keys.len() + self.caches.len() + self.zones.len();
-        sent + known + self.open.len() + self.ready.len() + self.answers.len()
+        sent + self.open.len() + self.ready.len() + self.answers.len() + self.keys.len() + self.caches.len()
     }
 
     /// When to pull again if nothing happens before.
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -139,12 +139,21 @@
                     DedupScope::Zone => old.is_some_and(|l| l.zone == c.listing.zone),
                     DedupScope::Cell => old.is_some_and(|l| l.cell == c.listing.cell),
                 };
-                // Half the window, since the shot still has to arrive and wait its turn there.
-                same && now < first.at + window.scaled(0.5)
+                same && now < first.at + window.scaled(REPEATED_IN)
             }
         }
     }
 
+    /// Until when a shot of this call may begin: the gate is passed once, and its connection may come up later.
+    fn begin_by(&self, open: &Open) -> Time {
+        match (self.product(open.call.product).effect, open.first_risky()) {
+            (Effect::Deduplicated { window, .. }, Some(first)) => {
+                open.end.min(open.shots[first].at + window.scaled(REPEATED_IN))
+            }
+            _ => open.end,
+        }
+    }
+
     /// The work a second that this node may send a cold cache: its part, by warmth and size, of what caches
     /// got from it of late, so that all nodes stay near the cache's part of the load; but not under one call
     /// at a time from all nodes together, or a fleet cold throughout would never be found out to work.
@@ -179,6 +188,7 @@
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let (c, call) = (&self.caches[&cache], self.open[&id].call);
         let (origin, work, cost) = (c.is_origin, self.work_of(now, &call), self.cost(now, c, &call));
+        let begin_within = self.begin_by(&self.open[&id]) - now;
         let open = self.open.get_mut(&id).expect("placed calls are open");
         let (end, sent) = (open.end, Sent { call, cache, at: now, out: true });
         self.out.insert((id, ShotNumber(open.shots.len() as u8)), sent);
@@ -196,6 +206,6 @@
         (!origin).then(|| self.zones.tried(now, c.listing.zone));
         c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
         self.alarms.insert((now + self.product(call.product).slo.scaled(SLOW_SHARE), id));
-        Shot { api_call: id, cache, give_up_after: end - now }
+        Shot { api_call: id, cache, give_up_after: end - now, begin_within }
     }
 }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -39,6 +39,8 @@
     pub api_call: ApiCallId,
     pub cache: CacheId,
     pub give_up_after: Span,
+    /// Its first byte may go out for so long: a connection may take long to come up, and a repeat must still be dropped.
+    pub begin_within: Span,
 }
 
 /// What a cache reports of its load, as far as it does.
--- a/tests/open_terms.rs
+++ b/tests/open_terms.rs
@@ -1,9 +1,9 @@
 //! A call keeps the terms that it was taken under, whatever settings follow while it is open.
 
 use granitelb::brain::Brain;
-use granitelb::calls::{Answer, ApiCall};
-use granitelb::ids::{ApiCallId, Key, KindId, ProductId};
-use granitelb::settings::{Effect, Product, Settings};
+use granitelb::calls::{Answer, ApiCall, Listing, Outcome, ShotEnd};
+use granitelb::ids::{ApiCallId, CacheId, CellId, Key, KindId, ProductId, ShotNumber, ZoneId};
+use granitelb::settings::{DedupScope, Effect, Product, Settings};
 use granitelb::units::{Span, Time};
 
 const START: Time = Time(1_000_000_000);
@@ -62,3 +62,34 @@
     assert_eq!(told(long, short), Some(Answer::RateLimited { come_back: long }));
     assert_eq!(told(Span::ZERO, long), Some(Answer::RateLimited { come_back: Span::ZERO }));
 }
+
+/// A repeat of a deduplicated call may begin in half of its window from the first shot that may have run, however long its
+/// connection takes to come up.
+#[test]
+fn a_repeat_tells_until_when_it_may_begin() {
+    let (window, at) = (Span::from_millis(300), |ms| START + Span::from_millis(ms));
+    let mut settings = settings(Span::ZERO);
+    settings.products[0].effect = Effect::Deduplicated { scope: DedupScope::All, window };
+    let mut brain = Brain::new(settings, 7, START);
+    let listing = |cache| Listing {
+        cache: CacheId(cache),
+        kind: KindId(0),
+        size: 1.0,
+        zone: ZoneId(0),
+        cell: CellId(0),
+        ready: true,
+        draining: false,
+        started: None,
+    };
+    brain.caches_listed(START, &[listing(1), listing(2)], true);
+    let (product, key, budget) = (ProductId(0), Key(1), Span::from_millis(400));
+    brain.api_call(START, ApiCallId(1), ApiCall { product, key, budget, work: None, write: false });
+    let first = brain.next_shot(START).expect("a shot");
+    assert_eq!(first.begin_within, first.give_up_after, "it repeats nothing");
+    let (outcome, latency) = (Outcome::Reset, Span::from_millis(60));
+    let end = ShotEnd { number: ShotNumber(0), cache: first.cache, outcome, latency, answered: false };
+    brain.shot_ended(at(60), ApiCallId(1), &end);
+    let again = brain.next_shot(at(60)).expect("a repeat");
+    assert_eq!(again.begin_within, Span::from_millis(90));
+    assert_eq!(again.give_up_after, Span::from_millis(340));
+}
