--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! two runs of one seed are the same. What it shows is simulated and is called so wherever it is quoted.
 
 pub mod came;
+pub mod cold_model;
 pub mod days;
 pub mod faults;
 pub mod hindsight;
