--- a/crates/together/tests/clocks.rs
+++ b/crates/together/tests/clocks.rs
@@ -1,15 +1,10 @@
 //! Members whose clocks go at different rates, or were set back: planners as processes, with clocks that their files set.
 
-#[path = "support/holders.rs"]
-#[allow(dead_code)]
-mod holders;
-mod support;
-
 use std::fs;
 use std::time::Duration;
 
-use holders::Holders;
-use support::Fleet;
+use crate::holders::Holders;
+use crate::support::Fleet;
 
 /// Of 100 fetches a second a quarter is the forwarders' own.
 const LEASED: u64 = 75_000;
--- a/crates/together/tests/disk.rs
+++ b/crates/together/tests/disk.rs
@@ -1,17 +1,12 @@
 //! Planners' disks that are full, or taken away, in the middle of splits and leases; planners are processes.
 
-#[path = "support/growing.rs"]
-#[allow(dead_code)]
-mod growing;
-mod support;
-
 use std::fs;
 use std::time::Duration;
 
+use crate::growing::{GROW, Growing, place};
 use granitelb_plan::growth::form::Step;
 use granitelb_plan::leases::{self, Need, Resource};
 use granitelb_plan::letters::Letter;
-use growing::{GROW, Growing, place};
 
 const LONG: Duration = Duration::from_secs(25);
 
--- a/crates/together/tests/growth.rs
+++ b/crates/together/tests/growth.rs
@@ -1,19 +1,15 @@
 //! Splits of growing shards by processes, in quick time: planners that are killed at each step, and an origin that is
 //! slow in mid-split; letters are lost and doubled all the while.
 
-#[path = "support/growing.rs"]
-mod growing;
-mod support;
-
 use std::fs;
 use std::time::Duration;
 
+use crate::growing::{GROW, Growing, caches, place};
 use granitelb::slots::caches_of;
 use granitelb_plan::growth::form::{Form, Step};
 use granitelb_plan::leases::{self, Need, Resource};
 use granitelb_plan::letters::Letter;
 use granitelb_plan::verdicts::{self, Part, Report, Seen};
-use growing::{GROW, Growing, caches, place};
 
 const LONG: Duration = Duration::from_secs(25);
 
--- a/crates/together/tests/hindsight.rs
+++ b/crates/together/tests/hindsight.rs
@@ -2,11 +2,10 @@
 //! doubled. On a calm run no cache is named; one that becomes slow is, by both; and with planners killed, caches started
 //! anew, a new table and a forwarder that lies nobody is named who isn't slow.
 
-mod support;
-
 use std::fs;
 use std::time::{Duration, Instant};
 
+use crate::support::{Fleet, Forwarder, OURS, Planner};
 use granitelb::calls::Outcome;
 use granitelb::ids::{CacheId, Key, ProductId};
 use granitelb::units::Span;
@@ -16,7 +15,6 @@
 use granitelb_plan::sight::{Ended, Server, Sight};
 use granitelb_plan::{ForwarderId, Life, Member, PlannerId};
 use granitelb_together::clock::Clock;
-use support::{Fleet, Forwarder, OURS, Planner};
 
 const LONGER: Span = Span::from_millis(40);
 
--- /dev/null
+++ b/crates/together/tests/main.rs
@@ -0,0 +1,29 @@
+//! The tests of the program's side, many of them on processes: one program, so that they are linked once and run beside each other.
+
+mod clocks;
+mod disk;
+#[path = "support/growing.rs"]
+mod growing;
+mod growth;
+mod help;
+mod hindsight;
+#[path = "support/holders.rs"]
+mod holders;
+mod planners;
+mod store;
+mod support;
+mod zombies;
+
+/// A file that is not a module here would not be run.
+#[test]
+fn every_file_of_tests_is_a_module() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
+    for entry in std::fs::read_dir(folder).expect("the tests") {
+        let path = entry.expect("a file").path();
+        let stem = path.file_stem().and_then(|s| s.to_str()).expect("a name");
+        if stem != "main" && path.extension().is_some_and(|e| e == "rs") {
+            let line = format!("mod {stem};");
+            assert!(include_str!("main.rs").lines().any(|l| l == line), "{line} is missing in main.rs");
+        }
+    }
+}
--- a/crates/together/tests/planners.rs
+++ b/crates/together/tests/planners.rs
@@ -1,16 +1,14 @@
 //! Planners as processes on loopback: what they answer, refuse, keep, and how they end and come back.
 
-mod support;
-
 use std::fs;
 use std::time::{Duration, Instant};
 
+use crate::support::{Fleet, Forwarder, OURS, THEIRS, check};
 use granitelb_plan::leases::{self, Need, Resource};
 use granitelb_plan::letters::Letter;
 use granitelb_plan::members::Message;
 use granitelb_plan::{Member, PlannerId};
 use rustix::process::Signal;
-use support::{Fleet, Forwarder, OURS, THEIRS, check};
 
 const BEAT: Letter = Letter::Members(Message::Beat);
 const SOON: Duration = Duration::from_secs(3);
--- a/crates/together/tests/zombies.rs
+++ b/crates/together/tests/zombies.rs
@@ -1,18 +1,13 @@
 //! Planners that come back when others have gone on, two of one number, and files and secrets that are not the same at all
 //! members: planners as processes, forwarders that hold leases, and a judge of what all of them hold.
 
-#[path = "support/holders.rs"]
-#[allow(dead_code)]
-mod holders;
-mod support;
-
 use std::fs;
 use std::net::UdpSocket;
 use std::time::Duration;
 
-use holders::Holders;
+use crate::holders::Holders;
+use crate::support::{Fleet, OURS, Planner, THEIRS};
 use rustix::process::Signal;
-use support::{Fleet, OURS, Planner, THEIRS};
 
 /// Of 100 fetches a second a quarter is the forwarders' own.
 const LEASED: u64 = 75_000;
