--- a/src/brain.rs
+++ b/src/brain.rs
@@ -167,8 +167,8 @@
     recalls: VecDeque<(ApiCallId, ShotNumber)>,
     calls_seen: u64,
     reask: Option<(Time, Span)>,
-    /// Work that caches did in the fall window, and its part for each unit of warm size over a warm-up's time.
-    done: FadingSum,
+    /// Work sent to caches in the fall window, and its part for each unit of warm size over a warm-up's time.
+    sent: FadingSum,
     carried: FadingMean,
     /// Work that calls asked of caches, over the fall window, and the warm size at the last learning step.
     wanted: FadingSum,
@@ -185,7 +185,7 @@
 impl Brain {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Brain {
         Brain {
-            done: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
+            sent: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             wanted: FadingSum::new(settings.fall_window.max(LEARNING_STEP), now),
             warm_size: 0.0,
             carried: FadingMean::new(settings.warm_after.max(LEARNING_STEP), now, 0.0),
@@ -232,8 +232,8 @@
         // Sums over other windows, or by other sizes, would grant cold caches work that they can't take.
         let terms = |s: &Settings| (s.fall_window, s.warm_after, s.steady_sizes);
         if terms(s) != terms(&old) {
-            self.done = FadingSum::new(s.fall_window.max(LEARNING_STEP), now);
-            self.wanted = self.done;
+            self.sent = FadingSum::new(s.fall_window.max(LEARNING_STEP), now);
+            self.wanted = self.sent;
             self.carried = FadingMean::new(s.warm_after.max(LEARNING_STEP), now, 0.0);
         }
         self.renew_table();
--- a/src/brain/choosing.rs
+++ b/src/brain/choosing.rs
@@ -187,7 +187,7 @@
 
     fn send(&mut self, now: Time, id: ApiCallId, cache: CacheId) -> Shot {
         let (c, call) = (&self.caches[&cache], self.open[&id].call);
-        let (origin, cost) = (c.is_origin, self.cost(now, c, &call));
+        let (origin, work, cost) = (c.is_origin, self.work_of(now, &call), self.cost(now, c, &call));
         let begin_within = self.begin_by(&self.open[&id]) - now;
         let open = self.open.get_mut(&id).expect("placed calls are open");
         let (end, sent) = (open.end, Sent { call, cache, at: now, out: true });
@@ -202,6 +202,7 @@
         (c.draw, c.saved) = (draw, (saved, now));
         c.limit.in_flight += 1.0;
         c.usage.step_by(now, 1.0);
+        self.sent.add(now, if origin { 0.0 } else { work });
         (!origin).then(|| self.zones.tried(now, c.listing.zone));
         c.trial = c.trial.map(|(_, wait)| (now + wait, Span(wait.0 * 2).min(LAST_TRIAL)));
         self.alarms.insert((now + self.product(call.product).slo.scaled(SLOW_SHARE), id));
--- a/src/brain/known.rs
+++ b/src/brain/known.rs
@@ -92,10 +92,6 @@
             let mean = &mut self.latencies[sent.call.product.0 as usize][usize::from(origin)];
             mean.add(now, latency.as_secs_f64());
         }
-        // Not what was sent: a crowd turns calls away again and again, and cold caches would be granted all of it.
-        if !origin && matches!(outcome, Outcome::Fulfilled | Outcome::Lacking) {
-            self.done.add(now, self.work_of(now, &sent.call));
-        }
         let overtaken = self.is_overtaken(sent);
         let Some(c) = self.caches.get_mut(&sent.cache) else { return };
         c.usage.step_by(now, -1.0);
--- a/src/brain/learning.rs
+++ b/src/brain/learning.rs
@@ -9,7 +9,7 @@
         let warm_size = |c: &Cache| self.size_of(&c.listing) * self.warmth(now, c);
         let size: f64 = self.caches.values().filter(|c| c.serves()).map(warm_size).sum();
         // With no cache left nothing is carried; by next to no size it would grant cold caches any work.
-        (size > 0.0).then(|| self.carried.add(now, self.done.read(now) / size));
+        (size > 0.0).then(|| self.carried.add(now, self.sent.read(now) / size));
         self.warm_size = size;
         let own = |c: &Cache| c.usage.read(now) / self.size_of(&c.listing);
         let serving = self.caches.values().filter(|c| c.serves());
