--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -8,7 +8,8 @@
 use granitelb_lab::experiment::Experiment;
 use granitelb_lab::played::{self, Played};
 
-/// So many at a time leave each of them cores enough: with three on six, answers came some milliseconds late.
+/// So many at a time leave each of them cores enough. With three on six cores one answer came 4 ms past its time; that the
+/// number was the cause is not shown.
 const AT_A_TIME: usize = 2;
 /// A rig that is later than this, in milliseconds, says nothing of the program.
 const LATE: f64 = 40.0;
