--- a/crates/balancer/tests/scenarios/main.rs
+++ b/crates/balancer/tests/scenarios/main.rs
@@ -21,6 +21,7 @@
 #[test_case(scenario!("effects"); "effects")]
 #[test_case(scenario!("draining"); "draining")]
 #[test_case(scenario!("warm-up"); "warm up")]
+#[test_case(scenario!("warm-up-latency"); "warm up while answers take longer")]
 #[test_case(scenario!("many-nodes"); "many nodes")]
 #[test_case(scenario!("restart"); "restart")]
 #[test_case(scenario!("request-coalescing"); "request coalescing")]
--- a/crates/fleet-simulator/tests/cold.rs
+++ b/crates/fleet-simulator/tests/cold.rs
@@ -30,6 +30,27 @@
     assert_eq!(result.violations, 0, "{result:?}");
 }
 
+/// Beside a burst, too, the fleet sheds and sends again what its caches can't take: where all of them are cold, and where
+/// one key takes a third of the requests. The node's former sum of all work that it sent counted each of these attempts,
+/// and so granted cold caches more than any cache carries.
+#[test_case(Disturbance::FleetCold, 130)]
+#[test_case(Disturbance::HotKey, 70)]
+#[test_case(Disturbance::HotKey, 119)]
+#[test_case(Disturbance::Burst, 85)]
+fn attempts_that_caches_shed_grant_cold_caches_nothing(disturbance: Disturbance, seed: u64) {
+    let result = simulate(&Scenario::random(disturbance, seed));
+    assert_eq!(result.violations, 0, "{result:?}");
+}
+
+/// Requests ask for more than the caches carry, and the budget of a cold cache follows demand up to half as much again.
+/// Where the overload multiple is small, and the list does not say that the cache is a small one, that alone is too much.
+#[test_case(Disturbance::FleetCold, 88)]
+#[test_case(Disturbance::Burst, 19)]
+fn budgets_that_follow_demand_stay_within_the_overload_multiple(disturbance: Disturbance, seed: u64) {
+    let result = simulate(&Scenario::random(disturbance, seed));
+    assert_eq!(result.violations, 0, "{result:?}");
+}
+
 #[test]
 fn one_seed_gives_one_day() {
     let simulate_seed = |seed| simulate(&Scenario::random(Disturbance::NodesRestart, seed));
