Balancer: tells what warm-up budgets follow from; the node logs it at debug level

No log line and no figure told the hypotheses on cold budgets apart: what they go by, what was asked for, what was sent, the fleet's size by warmth. Balancer::warmup_report gives them, the node logs them once a second while a cache warms up (event warmup_budget, debug).

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -37,6 +37,7 @@
 use std::collections::VecDeque;
 
 pub use self::endpoint_list::REMOVED_ENDPOINT_TTL;
+pub use self::warmup::WarmupReport;
 
 use self::attempt_tracking::{InFlightAttempts, record_result};
 use self::concurrency_limit::ConcurrencyLimit;
@@ -348,6 +349,13 @@
             + self.endpoints.len()
     }
 
+    /// What the budgets of endpoints in warm-up follow from, while a serving cache warms up.
+    pub fn warmup_report(&self, now: Time) -> Option<WarmupReport> {
+        let is_warming_up =
+            |endpoint: &Endpoint| endpoint.is_serving() && endpoint.warmup_factor(now, &self.settings) < 1.0;
+        self.endpoints.iter().any(is_warming_up).then(|| self.warmup_traffic.report(now))
+    }
+
     /// A key's candidates, the highest weight first.
     pub fn ranked(&self, key: Key) -> Vec<EndpointId> {
         self.selection.ranked(key)
--- a/crates/balancer/src/balancer/warmup.rs
+++ b/crates/balancer/src/balancer/warmup.rs
@@ -107,6 +107,15 @@
         self.warm_size = warm_size;
     }
 
+    pub fn report(&self, now: Time) -> WarmupReport {
+        WarmupReport {
+            requested_work: self.requested_work.read(now),
+            sent_work: self.sent_work.read(now),
+            warm_size: self.warm_size,
+            work_per_size: self.work_per_size(now),
+        }
+    }
+
     /// The work per unit of warm size that the fall window carries. Where the fleet becomes colder, the same
     /// requests fall to less warm size and the average would refuse them; then demand counts, within a limit.
     fn work_per_size(&self, now: Time) -> f64 {
@@ -116,6 +125,19 @@
     }
 }
 
+/// What the budgets of endpoints in warm-up follow from, at one moment; for the log and for simulations.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupReport {
+    /// Work that requests asked of caches during the fall window, in seconds.
+    pub requested_work: f64,
+    /// Work that was sent to caches during the fall window, in seconds.
+    pub sent_work: f64,
+    /// The size of all serving caches, where one in warm-up counts by its warmth.
+    pub warm_size: f64,
+    /// The work of a fall window that a cache of size one is granted once it is warm, in seconds.
+    pub work_per_size: f64,
+}
+
 /// Decides whether endpoints' budgets permit attempts, at one moment.
 pub(super) struct WarmupGate<'a> {
     pub now: Time,
--- a/crates/fleet-simulator/examples/cold.rs
+++ b/crates/fleet-simulator/examples/cold.rs
@@ -2,7 +2,13 @@
 //! A second argument also prints each run in which a cache received too much.
 //! `cargo run --release -p granitelb-fleet-simulator --example cold -- 100`
 
-use granitelb_fleet_simulator::warmup_simulation::{DISTURBANCES, Disturbance, Scenario, simulate};
+use std::num::NonZero;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use granitelb_fleet_simulator::warmup_simulation::{
+    DISTURBANCES, Disturbance, Scenario, SimulationResult, simulate,
+};
 
 const DEFAULT_SEEDS: u64 = 40;
 
@@ -18,11 +24,40 @@
     warmup_work: f64,
 }
 
+/// One run and its result.
+struct Run {
+    scenario: Scenario,
+    result: SimulationResult,
+}
+
+/// Simulates all seeds, several at once, and returns the runs in the order of their seeds.
+fn simulate_all(disturbance: Disturbance, seeds: u64) -> Vec<Run> {
+    let next_seed = AtomicU64::new(1);
+    let runs = Mutex::new(Vec::new());
+    let threads = std::thread::available_parallelism().map_or(1, NonZero::get);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next_seed.fetch_add(1, Ordering::Relaxed);
+                    if seed > seeds {
+                        return;
+                    }
+                    let scenario = Scenario::random(disturbance, seed);
+                    let result = simulate(&scenario);
+                    runs.lock().expect("no holder of the lock panics").push(Run { scenario, result });
+                }
+            });
+        }
+    });
+    let mut runs = runs.into_inner().expect("no holder of the lock panics");
+    runs.sort_by_key(|run| run.scenario.seed);
+    runs
+}
+
 fn run_all(disturbance: Disturbance, seeds: u64, prints_violations: bool) -> Totals {
     let mut totals = Totals::default();
-    for seed in 1..=seeds {
-        let scenario = Scenario::random(disturbance, seed);
-        let result = simulate(&scenario);
+    for Run { scenario, result } in simulate_all(disturbance, seeds) {
         if prints_violations && result.violations > 0 {
             println!("{result:?}\n  {scenario:?}");
         }
--- a/crates/node/src/proxy/balancer_driver.rs
+++ b/crates/node/src/proxy/balancer_driver.rs
@@ -3,7 +3,7 @@
 use granitelb_balancer::EndpointUpdate;
 use granitelb_balancer::balancer::Balancer;
 use granitelb_balancer::settings::Settings;
-use granitelb_balancer::time::Time;
+use granitelb_balancer::time::{Span, Time};
 use granitelb_settings::Names;
 
 use super::discovery_watch::{DiscoveryWatch, WatchEvent};
@@ -16,6 +16,9 @@
 use super::upstream::Upstream;
 use crate::http::EndpointListUpdate;
 
+/// How often the log tells what the budgets of caches in warm-up follow from.
+const WARMUP_LOG_INTERVAL: Span = Span::from_millis(1000);
+
 /// Everything on which decisions are carried out.
 pub(super) struct ProxyContext<'a> {
     pub(super) turn: TurnContext<'a>,
@@ -30,6 +33,8 @@
     directory: EndpointDirectory,
     /// How many endpoints accepted requests when the log last reported it.
     logged_endpoint_count: usize,
+    /// When the log may next tell of budgets of caches in warm-up.
+    next_warmup_log_at: Time,
     /// Present where the node is part of a fleet with a control plane.
     recorder: Option<ObservationRecorder>,
 }
@@ -40,7 +45,13 @@
         directory: EndpointDirectory,
         recorder: Option<ObservationRecorder>,
     ) -> BalancerDriver {
-        BalancerDriver { balancer, directory, logged_endpoint_count: 0, recorder }
+        BalancerDriver {
+            balancer,
+            directory,
+            logged_endpoint_count: 0,
+            next_warmup_log_at: Time(0),
+            recorder,
+        }
     }
 
     /// Uses other settings from now on.
@@ -118,6 +129,22 @@
         if let Some(recorder) = &mut self.recorder {
             recorder.end_turn();
         }
+        self.log_warmup(context.turn.now);
+    }
+
+    fn log_warmup(&mut self, now: Time) {
+        if now < self.next_warmup_log_at || !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        self.next_warmup_log_at = now + WARMUP_LOG_INTERVAL;
+        let Some(report) = self.balancer.warmup_report(now) else { return };
+        log::debug!(
+            event = "warmup_budget", requested = report.requested_work, sent = report.sent_work,
+            warm_size = report.warm_size, work_per_size = report.work_per_size;
+            "caches warm up: of {:.3} s of work asked for in a window {:.3} s were sent, to a warm size of {:.2}; \
+            {:.3} s are granted per unit of it",
+            report.requested_work, report.sent_work, report.warm_size, report.work_per_size
+        );
     }
 
     fn begin_turn(&mut self, now: Time) {
