Cold budgets: attempts that caches shed or that never reached one are taken back

Cause: the budget of a cold cache follows from the work that this node sent to caches per unit of warm size, and WarmupTraffic counted each attempt when it was sent. A full cache sheds it unseen, it is sent again, up to four times a request: the more an overloaded fleet shed, the more its cold caches were granted.

Change: an attempt that ends Rejected, Unreachable or NotSent is taken back from the sum, as far as it has not decayed. It holds since what remains is what caches accepted, and a cache accepts no more than it does and its queue holds.

Accepted work is kept since an attempt that is called off or timed out may have been work all the same.

--- a/crates/balancer/src/balancer/assessment.rs
+++ b/crates/balancer/src/balancer/assessment.rs
@@ -118,6 +118,19 @@
         self.is_cache_aside && !self.is_slow && is_answer
     }
 
+    /// Whether a cache took the attempt in, or may have.
+    fn may_be_accepted(&self) -> bool {
+        match self.outcome {
+            AttemptOutcome::Rejected | AttemptOutcome::Unreachable | AttemptOutcome::NotSent => false,
+            AttemptOutcome::Fulfilled
+            | AttemptOutcome::CacheMiss
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Errored
+            | AttemptOutcome::Reset
+            | AttemptOutcome::Cancelled => true,
+        }
+    }
+
     fn limit_sample(&self) -> LimitSample {
         let (service_time, max_growth) = match self.role {
             EndpointRole::Origin => (self.service_time, ORIGIN_LIMIT_GROWTH),
@@ -144,6 +157,10 @@
             self.response_times.record(now, class, assessment.role, latency);
         }
         self.assess_responsiveness(now, attempt, &assessment);
+        if !assessment.is_origin() && !assessment.may_be_accepted() {
+            let work = self.response_times.work(now, &attempt.request);
+            self.warmup_traffic.on_work_not_accepted(now, attempt.sent_at, work);
+        }
         let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
         endpoint.own_load.step_by(now, -1.0);
         if outcome == AttemptOutcome::Fulfilled {
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -230,9 +230,7 @@
         endpoint.limit.on_attempt_sent();
         endpoint.own_load.step_by(now, 1.0);
         endpoint.health.on_attempt_sent(now);
-        if endpoint.is_origin() {
-            self.warmup_traffic.on_work_sent(now, 0.0);
-        } else {
+        if !endpoint.is_origin() {
             self.warmup_traffic.on_work_sent(now, work);
             self.zones.on_attempt_sent(now, endpoint.zone());
         }
--- a/crates/balancer/src/balancer/warmup.rs
+++ b/crates/balancer/src/balancer/warmup.rs
@@ -55,9 +55,9 @@
     }
 }
 
-/// The work that this node sends, from which the buckets' refill rates follow.
+/// The work that caches accept from this node, from which the buckets' refill rates follow.
 pub(super) struct WarmupTraffic {
-    /// Work sent to caches during the fall window.
+    /// Work sent to caches during the fall window, without what they did not accept.
     sent_work: DecayingSum,
     /// `sent_work` per unit of warm size, averaged over the time of a warm-up.
     sent_per_size: DecayingMean,
@@ -98,6 +98,13 @@
         self.sent_work.add(now, work);
     }
 
+    /// An attempt of this work did not reach its cache, or the cache shed it: it is taken back. Requests that find
+    /// no room are sent again and again, and none of that shows what a cache carries. If it counted, the more an
+    /// overloaded fleet sheds, the more its cold caches would be granted.
+    pub fn on_work_not_accepted(&mut self, now: Time, sent_at: Time, work: f64) {
+        self.sent_work.take_back(now, sent_at, work);
+    }
+
     /// Updates the average. Without a serving cache nothing is carried; related to almost no size, the work would
     /// grant endpoints in warm-up any amount.
     pub fn on_learning_step(&mut self, now: Time, warm_size: f64) {
@@ -130,7 +137,7 @@
 pub struct WarmupReport {
     /// Work that requests asked of caches during the fall window, in seconds.
     pub requested_work: f64,
-    /// Work that was sent to caches during the fall window, in seconds.
+    /// Work that was sent to caches during the fall window, in seconds, without what they did not accept.
     pub sent_work: f64,
     /// The size of all serving caches, where one in warm-up counts by its warmth.
     pub warm_size: f64,
--- a/crates/balancer/src/balancer/warmup/tests.rs
+++ b/crates/balancer/src/balancer/warmup/tests.rs
@@ -66,3 +66,19 @@
     traffic.on_learning_step(at(0), 0.0);
     assert_eq!(traffic.work_per_size(at(0)), 2.0);
 }
+
+#[test]
+fn work_that_is_not_accepted_is_taken_back_as_it_has_decayed() {
+    let settings = settings(Effect::Idempotent);
+    let mut traffic = WarmupTraffic::new(&settings, at(0));
+    traffic.on_work_sent(at(0), 3.0);
+    traffic.on_work_sent(at(200), 8.0);
+    let accepted_alone = traffic.report(at(200)).sent_work - 8.0;
+    traffic.on_work_not_accepted(at(900), at(200), 8.0);
+    let left = traffic.report(at(900)).sent_work;
+    let decay = (-0.7 / settings.fall_window.as_secs_f64()).exp();
+    assert!((left - accepted_alone * decay).abs() < 1e-9, "{left}");
+    // No error of estimates makes it negative.
+    traffic.on_work_not_accepted(at(900), at(900), 50.0);
+    assert_eq!(traffic.report(at(900)).sent_work, 0.0);
+}
--- a/crates/balancer/src/decaying.rs
+++ b/crates/balancer/src/decaying.rs
@@ -22,6 +22,13 @@
         self.updated_at = now;
     }
 
+    /// Takes back what is left of a term that was added at the time `added_at`. The sum does not become negative.
+    pub fn take_back(&mut self, now: Time, added_at: Time, amount: f64) {
+        let left = amount * decay(now - added_at, self.memory);
+        self.sum = (self.read(now) - left).max(0.0);
+        self.updated_at = now;
+    }
+
     /// The sum at the time `now`.
     pub fn read(&self, now: Time) -> f64 {
         self.sum * decay(now - self.updated_at, self.memory)
