Cold budgets: growth with demand stays within the overload multiple

What callers saw: with an overload multiple of 2 or less a small cache that warms up was still pushed over when all caches are cold, or under a burst.

Cause: budgets follow demand up to MAX_DEMAND_GROWTH (1.5) times what caches carried. A node's part is reduced to BURST_ALLOWANCE of the multiple (0.5), but the growth then came on top of it.

Change: growth is at most BURST_ALLOWANCE times the multiple, at least one. It holds since what caches carry is at most their capacity: all nodes together stay at half the multiple, or at one, and the other half is left for chance and for caches smaller than the list says. Multiples of 3 and more are as they were.

Ruled out: buckets saved up (half a window's refill, within the same part), nodes with uneven shares (the sum over nodes is linear), late lists (the windows' work is of notified nodes by two thirds).

--- a/crates/balancer/src/balancer/warmup.rs
+++ b/crates/balancer/src/balancer/warmup.rs
@@ -14,7 +14,7 @@
 use super::response_times::ResponseTimes;
 
 /// Endpoints in warm-up receive at most this multiple of the recent work per unit of warm size, where requests ask
-/// for more.
+/// for more and the overload multiple has room for it.
 const MAX_DEMAND_GROWTH: f64 = 1.5;
 /// A bucket holds the refill of this share of the fall window.
 const CAPACITY_WINDOW_SHARE: f64 = 0.5;
@@ -65,6 +65,7 @@
     requested_work: DecayingSum,
     /// The warm size of all serving caches at the last learning step.
     warm_size: f64,
+    max_demand_growth: f64,
 }
 
 impl WarmupTraffic {
@@ -76,6 +77,7 @@
             sent_per_size: DecayingMean::new(warmup, now, 0.0),
             requested_work: DecayingSum::new(window, now),
             warm_size: 0.0,
+            max_demand_growth: max_demand_growth(settings),
         }
     }
 
@@ -88,6 +90,7 @@
         if !is_unchanged {
             *self = WarmupTraffic { warm_size: self.warm_size, ..WarmupTraffic::new(new, now) };
         }
+        self.max_demand_growth = max_demand_growth(new);
     }
 
     pub fn on_work_requested(&mut self, now: Time, work: f64) {
@@ -128,10 +131,17 @@
     fn work_per_size(&self, now: Time) -> f64 {
         let sent = self.sent_per_size.read(now);
         let requested = self.requested_work.read(now) / self.warm_size.max(MIN_WARM_SIZE);
-        requested.min(sent * MAX_DEMAND_GROWTH).max(sent)
+        requested.min(sent * self.max_demand_growth).max(sent)
     }
 }
 
+/// By how much budgets may follow demand beyond what caches carried. What caches carry is at most their capacity, so the
+/// growth has to stay within the overload multiple, and a part of that is left to chance and to endpoints that are
+/// smaller than listed.
+fn max_demand_growth(settings: &Settings) -> f64 {
+    (settings.fall_multiple * BURST_ALLOWANCE).clamp(1.0, MAX_DEMAND_GROWTH)
+}
+
 /// What the budgets of endpoints in warm-up follow from, at one moment; for the log and for simulations.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WarmupReport {
--- a/crates/balancer/src/balancer/warmup/tests.rs
+++ b/crates/balancer/src/balancer/warmup/tests.rs
@@ -82,3 +82,16 @@
     traffic.on_work_not_accepted(at(900), at(900), 50.0);
     assert_eq!(traffic.report(at(900)).sent_work, 0.0);
 }
+
+#[test]
+fn growth_with_demand_stays_within_the_overload_multiple() {
+    let mut settings = settings(Effect::Idempotent);
+    for (fall_multiple, expected) in [(1.2, 2.0), (2.0, 2.0), (2.5, 2.5), (3.0, 3.0), (9.0, 3.0)] {
+        settings.fall_multiple = fall_multiple;
+        let mut traffic = WarmupTraffic::new(&settings, at(0));
+        traffic.on_work_sent(at(0), 8.0);
+        traffic.on_learning_step(at(0), 2.0);
+        traffic.on_work_requested(at(0), 100.0);
+        assert_eq!(traffic.work_per_size(at(0)), expected, "{fall_multiple}");
+    }
+}
