Cold budgets: unstated work is valued by the estimate that holds now

Cause: a request that states no work is taken to be as much work as recent answers took. The sums that budgets follow from kept seconds of former estimates, averaged over a warm-up, while each attempt was charged by the newest one. So cold caches were granted fewer requests, the rest waited at the others, answers took longer still: the loop in which a small budget makes a small budget.

Change: WorkSum keeps stated work in seconds and counts the other requests by class; both are valued when they are read. It holds since a change of the estimate now changes budget and cost alike.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -32,6 +32,7 @@
 #[cfg(test)]
 mod test_support;
 mod warmup;
+mod work_sum;
 mod zone_outliers;
 
 use std::collections::VecDeque;
@@ -194,7 +195,7 @@
         self.selection.count_request(now);
         let is_origin_write = request.write && self.settings.is_cache_aside();
         if !is_origin_write {
-            self.warmup_traffic.on_work_requested(now, self.response_times.work(now, &request));
+            self.warmup_traffic.on_work_requested(now, &request);
             self.selection.on_key_requested(now, request.key, self.settings.nodes);
         }
     }
@@ -353,7 +354,10 @@
     pub fn warmup_report(&self, now: Time) -> Option<WarmupReport> {
         let is_warming_up =
             |endpoint: &Endpoint| endpoint.is_serving() && endpoint.warmup_factor(now, &self.settings) < 1.0;
-        self.endpoints.iter().any(is_warming_up).then(|| self.warmup_traffic.report(now))
+        self.endpoints
+            .iter()
+            .any(is_warming_up)
+            .then(|| self.warmup_traffic.report(now, &self.response_times))
     }
 
     /// A key's candidates, the highest weight first.
--- a/crates/balancer/src/balancer/assessment.rs
+++ b/crates/balancer/src/balancer/assessment.rs
@@ -158,8 +158,7 @@
         }
         self.assess_responsiveness(now, attempt, &assessment);
         if !assessment.is_origin() && !assessment.may_be_accepted() {
-            let work = self.response_times.work(now, &attempt.request);
-            self.warmup_traffic.on_work_not_accepted(now, attempt.sent_at, work);
+            self.warmup_traffic.on_work_not_accepted(now, attempt.sent_at, &attempt.request);
         }
         let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
         endpoint.own_load.step_by(now, -1.0);
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -220,7 +220,6 @@
     /// Updates the state of the endpoint that an attempt goes to.
     fn account_for_attempt(&mut self, now: Time, sent: &InFlightAttempt) {
         let required_share = self.random.next_unit();
-        let work = self.response_times.work(now, &sent.request);
         let gate = self.warmup_gate(now);
         let Some(endpoint) = self.endpoints.get(sent.endpoint) else { return };
         let cost = gate.cost(endpoint, &sent.request);
@@ -231,7 +230,7 @@
         endpoint.own_load.step_by(now, 1.0);
         endpoint.health.on_attempt_sent(now);
         if !endpoint.is_origin() {
-            self.warmup_traffic.on_work_sent(now, work);
+            self.warmup_traffic.on_work_sent(now, &sent.request);
             self.zones.on_attempt_sent(now, endpoint.zone());
         }
     }
--- a/crates/balancer/src/balancer/response_times.rs
+++ b/crates/balancer/src/balancer/response_times.rs
@@ -56,7 +56,12 @@
 
     /// The expected time of an answer, in seconds.
     pub fn expected_seconds(&self, now: Time, class: RequestClassId, role: EndpointRole) -> f64 {
-        let times = &self.by_class[usize::from(class.0)];
+        self.expected_class_seconds(now, usize::from(class.0), role)
+    }
+
+    /// The expected time of an answer to a request of the class at this position, in seconds.
+    pub fn expected_class_seconds(&self, now: Time, class: usize, role: EndpointRole) -> f64 {
+        let times = &self.by_class[class];
         match role {
             EndpointRole::Cache => times.cache.read(now),
             EndpointRole::Origin => times.origin.read(now),
--- a/crates/balancer/src/balancer/warmup.rs
+++ b/crates/balancer/src/balancer/warmup.rs
@@ -3,7 +3,6 @@
 //! Each endpoint has a token bucket of work. A node refills it at its own part of what the endpoint can take, so
 //! that all nodes together stay below the load under which an endpoint in warm-up fails.
 
-use crate::decaying::{DecayingMean, DecayingSum};
 use crate::endpoint::EndpointRole;
 use crate::request::Request;
 use crate::settings::Settings;
@@ -12,6 +11,7 @@
 use super::endpoint_list::Endpoint;
 use super::endpoint_selection::LEARNING_INTERVAL;
 use super::response_times::ResponseTimes;
+use super::work_sum::{WorkMean, WorkSum};
 
 /// Endpoints in warm-up receive at most this multiple of the recent work per unit of warm size, where requests ask
 /// for more and the overload multiple has room for it.
@@ -58,11 +58,11 @@
 /// The work that caches accept from this node, from which the buckets' refill rates follow.
 pub(super) struct WarmupTraffic {
     /// Work sent to caches during the fall window, without what they did not accept.
-    sent_work: DecayingSum,
+    sent_work: WorkSum,
     /// `sent_work` per unit of warm size, averaged over the time of a warm-up.
-    sent_per_size: DecayingMean,
+    sent_per_size: WorkMean,
     /// Work that requests ask of caches during the fall window.
-    requested_work: DecayingSum,
+    requested_work: WorkSum,
     /// The warm size of all serving caches at the last learning step.
     warm_size: f64,
     max_demand_growth: f64,
@@ -73,9 +73,9 @@
         let window = settings.fall_window.max(LEARNING_INTERVAL);
         let warmup = settings.warm_after.max(LEARNING_INTERVAL);
         WarmupTraffic {
-            sent_work: DecayingSum::new(window, now),
-            sent_per_size: DecayingMean::new(warmup, now, 0.0),
-            requested_work: DecayingSum::new(window, now),
+            sent_work: WorkSum::new(window, now),
+            sent_per_size: WorkMean::new(warmup, now),
+            requested_work: WorkSum::new(window, now),
             warm_size: 0.0,
             max_demand_growth: max_demand_growth(settings),
         }
@@ -93,44 +93,44 @@
         self.max_demand_growth = max_demand_growth(new);
     }
 
-    pub fn on_work_requested(&mut self, now: Time, work: f64) {
-        self.requested_work.add(now, work);
+    pub fn on_work_requested(&mut self, now: Time, request: &Request) {
+        self.requested_work.add(now, request);
     }
 
-    pub fn on_work_sent(&mut self, now: Time, work: f64) {
-        self.sent_work.add(now, work);
+    pub fn on_work_sent(&mut self, now: Time, request: &Request) {
+        self.sent_work.add(now, request);
     }
 
-    /// An attempt of this work did not reach its cache, or the cache shed it: it is taken back. Requests that find
-    /// no room are sent again and again, and none of that shows what a cache carries. If it counted, the more an
-    /// overloaded fleet sheds, the more its cold caches would be granted.
-    pub fn on_work_not_accepted(&mut self, now: Time, sent_at: Time, work: f64) {
-        self.sent_work.take_back(now, sent_at, work);
+    /// An attempt did not reach its cache, or the cache shed it: its work is taken back. Requests that find no room are
+    /// sent again and again, and none of that shows what a cache carries. If it counted, the more an overloaded fleet
+    /// sheds, the more its cold caches would be granted.
+    pub fn on_work_not_accepted(&mut self, now: Time, sent_at: Time, request: &Request) {
+        self.sent_work.take_back(now, sent_at, request);
     }
 
     /// Updates the average. Without a serving cache nothing is carried; related to almost no size, the work would
     /// grant endpoints in warm-up any amount.
     pub fn on_learning_step(&mut self, now: Time, warm_size: f64) {
         if warm_size > 0.0 {
-            self.sent_per_size.add(now, self.sent_work.read(now) / warm_size);
+            self.sent_per_size.add_scaled(now, &self.sent_work, 1.0 / warm_size);
         }
         self.warm_size = warm_size;
     }
 
-    pub fn report(&self, now: Time) -> WarmupReport {
+    pub fn report(&self, now: Time, response_times: &ResponseTimes) -> WarmupReport {
         WarmupReport {
-            requested_work: self.requested_work.read(now),
-            sent_work: self.sent_work.read(now),
+            requested_work: self.requested_work.seconds(now, response_times),
+            sent_work: self.sent_work.seconds(now, response_times),
             warm_size: self.warm_size,
-            work_per_size: self.work_per_size(now),
+            work_per_size: self.work_per_size(now, response_times),
         }
     }
 
     /// The work per unit of warm size that the fall window carries. Where the fleet becomes colder, the same
     /// requests fall to less warm size and the average would refuse them; then demand counts, within a limit.
-    fn work_per_size(&self, now: Time) -> f64 {
-        let sent = self.sent_per_size.read(now);
-        let requested = self.requested_work.read(now) / self.warm_size.max(MIN_WARM_SIZE);
+    fn work_per_size(&self, now: Time, response_times: &ResponseTimes) -> f64 {
+        let sent = self.sent_per_size.seconds(now, response_times);
+        let requested = self.requested_work.seconds(now, response_times) / self.warm_size.max(MIN_WARM_SIZE);
         requested.min(sent * self.max_demand_growth).max(sent)
     }
 }
@@ -197,7 +197,8 @@
         let warmup_factor = endpoint.warmup_factor(self.now, self.settings);
         let burst_factor = (self.settings.fall_multiple * BURST_ALLOWANCE).min(1.0);
         let part = burst_factor / self.settings.fall_window.as_secs_f64();
-        let work = self.traffic.work_per_size(self.now) * endpoint.size(self.settings) * part;
+        let work =
+            self.traffic.work_per_size(self.now, self.response_times) * endpoint.size(self.settings) * part;
         let own_rate = work.max(1.0 / self.settings.nodes) * warmup_factor;
         match (endpoint.lease, endpoint.role) {
             (None, _) => own_rate,
--- a/crates/balancer/src/balancer/warmup/tests.rs
+++ b/crates/balancer/src/balancer/warmup/tests.rs
@@ -1,7 +1,27 @@
 use super::{WarmupBudget, WarmupTraffic, warmup_factor};
-use crate::balancer::test_support::{at, settings};
-use crate::settings::Effect;
-use crate::time::Span;
+use crate::balancer::response_times::ResponseTimes;
+use crate::balancer::test_support::{at, read, settings};
+use crate::endpoint::EndpointRole;
+use crate::request::Request;
+use crate::settings::{Effect, Settings};
+use crate::time::{Span, Time};
+
+/// A request that states this work, in seconds.
+fn stated(seconds: f64) -> Request {
+    Request { work: Some(Span::from_secs_f64(seconds)), ..read() }
+}
+
+fn response_times(settings: &Settings) -> ResponseTimes {
+    ResponseTimes::new(&settings.request_classes, at(0))
+}
+
+fn work_per_size(traffic: &WarmupTraffic, settings: &Settings) -> f64 {
+    traffic.work_per_size(at(0), &response_times(settings))
+}
+
+fn sent_work(traffic: &WarmupTraffic, now: Time, settings: &Settings) -> f64 {
+    traffic.report(now, &response_times(settings)).sent_work
+}
 
 #[test]
 fn warmup_factor_grows_linearly_until_the_endpoint_is_warm() {
@@ -32,55 +52,55 @@
 fn demand_raises_the_work_per_size_within_a_limit() {
     let settings = settings(Effect::Idempotent);
     let mut traffic = WarmupTraffic::new(&settings, at(0));
-    traffic.on_work_sent(at(0), 8.0);
+    traffic.on_work_sent(at(0), &stated(8.0));
     traffic.on_learning_step(at(0), 2.0);
     // The mean of 4 per unit of size and of the initial zero.
-    assert_eq!(traffic.work_per_size(at(0)), 2.0);
-    traffic.on_work_requested(at(0), 5.0);
-    assert_eq!(traffic.work_per_size(at(0)), 2.5);
-    traffic.on_work_requested(at(0), 95.0);
-    assert_eq!(traffic.work_per_size(at(0)), 3.0);
+    assert_eq!(work_per_size(&traffic, &settings), 2.0);
+    traffic.on_work_requested(at(0), &stated(5.0));
+    assert_eq!(work_per_size(&traffic, &settings), 2.5);
+    traffic.on_work_requested(at(0), &stated(95.0));
+    assert_eq!(work_per_size(&traffic, &settings), 3.0);
 }
 
 #[test]
 fn traffic_is_dropped_only_when_it_would_mean_something_else() {
     let old = settings(Effect::Idempotent);
     let mut traffic = WarmupTraffic::new(&old, at(0));
-    traffic.on_work_sent(at(0), 8.0);
+    traffic.on_work_sent(at(0), &stated(8.0));
     traffic.on_learning_step(at(0), 2.0);
     let mut new = old.clone();
     new.nodes = 5.0;
     traffic.on_settings_update(&old, &new, at(0));
-    assert_eq!(traffic.work_per_size(at(0)), 2.0);
+    assert_eq!(work_per_size(&traffic, &old), 2.0);
     new.steady_sizes = true;
     traffic.on_settings_update(&old, &new, at(0));
-    assert_eq!(traffic.work_per_size(at(0)), 0.0);
+    assert_eq!(work_per_size(&traffic, &old), 0.0);
 }
 
 #[test]
 fn without_a_serving_cache_the_average_stays() {
     let settings = settings(Effect::Idempotent);
     let mut traffic = WarmupTraffic::new(&settings, at(0));
-    traffic.on_work_sent(at(0), 8.0);
+    traffic.on_work_sent(at(0), &stated(8.0));
     traffic.on_learning_step(at(0), 2.0);
     traffic.on_learning_step(at(0), 0.0);
-    assert_eq!(traffic.work_per_size(at(0)), 2.0);
+    assert_eq!(work_per_size(&traffic, &settings), 2.0);
 }
 
 #[test]
 fn work_that_is_not_accepted_is_taken_back_as_it_has_decayed() {
     let settings = settings(Effect::Idempotent);
     let mut traffic = WarmupTraffic::new(&settings, at(0));
-    traffic.on_work_sent(at(0), 3.0);
-    traffic.on_work_sent(at(200), 8.0);
-    let accepted_alone = traffic.report(at(200)).sent_work - 8.0;
-    traffic.on_work_not_accepted(at(900), at(200), 8.0);
-    let left = traffic.report(at(900)).sent_work;
+    traffic.on_work_sent(at(0), &stated(3.0));
+    traffic.on_work_sent(at(200), &stated(8.0));
+    let accepted_alone = sent_work(&traffic, at(200), &settings) - 8.0;
+    traffic.on_work_not_accepted(at(900), at(200), &stated(8.0));
+    let left = sent_work(&traffic, at(900), &settings);
     let decay = (-0.7 / settings.fall_window.as_secs_f64()).exp();
     assert!((left - accepted_alone * decay).abs() < 1e-9, "{left}");
     // No error of estimates makes it negative.
-    traffic.on_work_not_accepted(at(900), at(900), 50.0);
-    assert_eq!(traffic.report(at(900)).sent_work, 0.0);
+    traffic.on_work_not_accepted(at(900), at(900), &stated(50.0));
+    assert_eq!(sent_work(&traffic, at(900), &settings), 0.0);
 }
 
 #[test]
@@ -89,9 +109,29 @@
     for (fall_multiple, expected) in [(1.2, 2.0), (2.0, 2.0), (2.5, 2.5), (3.0, 3.0), (9.0, 3.0)] {
         settings.fall_multiple = fall_multiple;
         let mut traffic = WarmupTraffic::new(&settings, at(0));
-        traffic.on_work_sent(at(0), 8.0);
+        traffic.on_work_sent(at(0), &stated(8.0));
         traffic.on_learning_step(at(0), 2.0);
-        traffic.on_work_requested(at(0), 100.0);
-        assert_eq!(traffic.work_per_size(at(0)), expected, "{fall_multiple}");
+        traffic.on_work_requested(at(0), &stated(100.0));
+        assert_eq!(work_per_size(&traffic, &settings), expected, "{fall_multiple}");
+    }
+}
+
+#[test]
+fn unstated_work_is_valued_by_the_estimate_that_holds_now() {
+    let settings = settings(Effect::Idempotent);
+    let unstated = Request { work: None, ..read() };
+    let mut response_times = response_times(&settings);
+    let mut traffic = WarmupTraffic::new(&settings, at(0));
+    for _ in 0..100 {
+        traffic.on_work_requested(at(0), &unstated);
+        traffic.on_work_sent(at(0), &unstated);
+    }
+    traffic.on_learning_step(at(0), 2.0);
+    let granted = |times: &ResponseTimes| traffic.work_per_size(at(0), times) / times.work(at(0), &unstated);
+    let requests = granted(&response_times);
+    for _ in 0..50 {
+        response_times.record(at(0), unstated.request_class, EndpointRole::Cache, Span::from_millis(390));
     }
+    // The answers take longer, and as many requests are granted as before.
+    assert!((granted(&response_times) - requests).abs() < 1e-9 * requests);
 }
--- /dev/null
+++ b/crates/balancer/src/balancer/work_sum.rs
@@ -0,0 +1,96 @@
+//! Sums of requests' work that stay comparable while the estimates of unstated work change.
+//!
+//! A request that does not state its work is estimated by the time of recent answers, and that time grows with load. A
+//! sum of former estimates could not be compared with the estimate of the next request: once answers are slow, the same
+//! requests would seem to be more work than before. So these requests are counted by class, and valued by the estimate
+//! that holds when the sum is read.
+
+use crate::decaying::DecayingSum;
+use crate::endpoint::EndpointRole;
+use crate::request::Request;
+use crate::time::{Span, Time};
+
+use super::response_times::ResponseTimes;
+
+/// A decaying sum of work.
+pub(super) struct WorkSum {
+    memory: Span,
+    /// Work that requests state, in seconds.
+    stated: DecayingSum,
+    /// Requests that state none, by class.
+    unstated: Vec<DecayingSum>,
+}
+
+impl WorkSum {
+    pub fn new(memory: Span, now: Time) -> WorkSum {
+        WorkSum { memory, stated: DecayingSum::new(memory, now), unstated: Vec::new() }
+    }
+
+    /// Adds a request.
+    pub fn add(&mut self, now: Time, request: &Request) {
+        let (sum, amount) = self.part(now, request);
+        sum.add(now, amount);
+    }
+
+    /// Takes back what is left of a request that was added at the time `added_at`.
+    pub fn take_back(&mut self, now: Time, added_at: Time, request: &Request) {
+        let (sum, amount) = self.part(now, request);
+        sum.take_back(now, added_at, amount);
+    }
+
+    /// Adds another sum, multiplied by a factor.
+    fn add_scaled(&mut self, now: Time, other: &WorkSum, factor: f64) {
+        self.stated.add(now, other.stated.read(now) * factor);
+        for (class, requests) in other.unstated.iter().enumerate() {
+            self.class(now, class).add(now, requests.read(now) * factor);
+        }
+    }
+
+    /// The sum in seconds, by the estimates that hold now.
+    pub fn seconds(&self, now: Time, response_times: &ResponseTimes) -> f64 {
+        let unstated = self.unstated.iter().enumerate();
+        let estimated = unstated.map(|(class, requests)| {
+            requests.read(now) * response_times.expected_class_seconds(now, class, EndpointRole::Cache)
+        });
+        self.stated.read(now) + estimated.sum::<f64>()
+    }
+
+    /// The sum that a request counts in, and its amount.
+    fn part(&mut self, now: Time, request: &Request) -> (&mut DecayingSum, f64) {
+        match request.work {
+            Some(work) => (&mut self.stated, work.as_secs_f64()),
+            None => (self.class(now, usize::from(request.request_class.0)), 1.0),
+        }
+    }
+
+    fn class(&mut self, now: Time, class: usize) -> &mut DecayingSum {
+        if self.unstated.len() <= class {
+            self.unstated.resize(class + 1, DecayingSum::new(self.memory, now));
+        }
+        &mut self.unstated[class]
+    }
+}
+
+/// The mean of sums of work, where newer ones weigh more. A first sample of zero never decays, so that few samples move
+/// it little.
+pub(super) struct WorkMean {
+    sum: WorkSum,
+    samples: DecayingSum,
+}
+
+impl WorkMean {
+    pub fn new(memory: Span, now: Time) -> WorkMean {
+        WorkMean { sum: WorkSum::new(memory, now), samples: DecayingSum::new(memory, now) }
+    }
+
+    /// Adds a sum, multiplied by a factor.
+    pub fn add_scaled(&mut self, now: Time, sample: &WorkSum, factor: f64) {
+        self.sum.add_scaled(now, sample, factor);
+        self.samples.add(now, 1.0);
+    }
+
+    /// The mean in seconds, by the estimates that hold now.
+    pub fn seconds(&self, now: Time, response_times: &ResponseTimes) -> f64 {
+        self.sum.seconds(now, response_times) / (self.samples.read(now) + 1.0)
+    }
+}
