Load reports: once none counts any more, usage is the node's own load again

Symptom: none that callers were seen to feel. After some 37 minutes without a report the weights of all reports underflow (745 times the memory of 3 s) and the mean of held requests was 0/0: usage was not a number, and the node's own load moved no weight any more.

Cause: HeldTotals::mean divided by a weight that fades to zero. Change: it gives none where the weight is zero, and usage is then the node's own attempts in flight, as without reports. That weights became no number themselves was not so: update_pushes takes a mean that is not above zero for no difference.

The same elsewhere (read): DecayingMean adds one to its count; shares of requests divide by at least one; update_pushes guards its mean; Little's law wants a rate above zero; WorkMean adds one, the warm size has a least value; in coordination EndpointView::rate has a least age, probe scheduling a least number of probes, demand estimators return before they divide by no time. None other divides by what fades.

Measured: reports_of_long_ago_leave_usage_a_number, once_no_report_counts_usage_is_the_own_load pass; that the old lines fail them was not run.

--- a/crates/balancer/src/balancer/load_reports.rs
+++ b/crates/balancer/src/balancer/load_reports.rs
@@ -43,9 +43,10 @@
 }
 
 impl HeldTotals {
-    /// The weighted mean; undefined where all reports are too old to count at all.
-    fn mean(&self) -> f64 {
-        self.weighted_sum / self.weight
+    /// The weighted mean. There is none without a report, nor where all of them are so old that their weights have
+    /// underflowed to zero: then the reports show nothing.
+    fn mean(&self) -> Option<f64> {
+        (self.weight > 0.0).then(|| self.weighted_sum / self.weight)
     }
 }
 
@@ -56,8 +57,8 @@
 }
 
 /// Computes the usage of all serving caches at one moment: the requests they report to hold, per unit of size. The
-/// weight of an old report shifts to the mean of all endpoints. Where no endpoint reports what it holds, usage is the
-/// node's own attempts in flight there.
+/// weight of an old report shifts to the mean of all endpoints. Where no endpoint reports what it holds, or none
+/// has for so long that nothing of it counts, usage is the node's own attempts in flight there.
 pub(super) struct UsageEstimator<'a> {
     pub now: Time,
     pub settings: &'a Settings,
@@ -73,10 +74,10 @@
     }
 
     fn usage(&self, endpoint: &Endpoint, totals: &HeldTotals) -> f64 {
-        match self.held(endpoint) {
-            Some(held) => totals.mean() * (1.0 - held.weight) + held.value * held.weight,
-            None if totals.weight > 0.0 => totals.mean(),
-            None => self.own_usage(endpoint),
+        match (totals.mean(), self.held(endpoint)) {
+            (Some(mean), Some(held)) => mean * (1.0 - held.weight) + held.value * held.weight,
+            (Some(mean), None) => mean,
+            (None, _) => self.own_usage(endpoint),
         }
     }
 
--- a/crates/balancer/src/balancer/load_reports/tests.rs
+++ b/crates/balancer/src/balancer/load_reports/tests.rs
@@ -5,6 +5,7 @@
 use crate::ids::EndpointId;
 use crate::settings::Effect;
 use crate::time::Span;
+use test_case::test_case;
 
 fn report_at_zero(report: LoadReport) -> ReceivedLoadReport {
     ReceivedLoadReport { received_at: at(0), report }
@@ -70,3 +71,27 @@
     let [own, _] = usages(&list, 60_000, 10.0)[..] else { panic!("two caches") };
     assert!((own - 2.0).abs() < 1e-6, "{own}");
 }
+
+/// Caches reported what they held, and then no more, for hours in which time alone passed. The weights of all reports
+/// underflow to zero after some 37 minutes (745 times the memory of 3 s), and the mean of what was held was 0/0 from then
+/// on: usage was not a number, every push became neutral, and the node's own load moved no weight any more.
+#[test_case(2_200; "before the weights underflow")]
+#[test_case(2_300; "after the weights have underflowed")]
+#[test_case(86_400; "a day later")]
+fn reports_of_long_ago_leave_usage_a_number(seconds: u64) {
+    let mut list = endpoints(2, &settings(Effect::Idempotent));
+    set_report(&mut list, 0, LoadReport { held: Some(10.0), ..LoadReport::default() });
+    set_report(&mut list, 1, LoadReport { held: Some(0.0), ..LoadReport::default() });
+    list.get_mut(EndpointId(1)).expect("listed").own_load.step_by(at(0), 2.0);
+    let usages = usages(&list, seconds * 1000, 1.0);
+    assert!(usages.iter().all(|usage| usage.is_finite()), "{usages:?}");
+}
+
+#[test]
+fn once_no_report_counts_usage_is_the_own_load() {
+    let mut list = endpoints(2, &settings(Effect::Idempotent));
+    set_report(&mut list, 0, LoadReport { held: Some(10.0), ..LoadReport::default() });
+    list.get_mut(EndpointId(1)).expect("listed").own_load.step_by(at(0), 2.0);
+    let [idle, loaded] = usages(&list, 3_600_000, 1.0)[..] else { panic!("two caches") };
+    assert_eq!((idle, loaded), (0.0, 2.0));
+}
