Node: no connection that may still bring a copied denial carries what must not run twice

A cache sheds a request, and its 503 that says that nothing ran comes again some milliseconds late. By then a request that must not run twice is out on that connection: it took the copy for its own answer, was held not to have run, and was sent again. The same with the 404 of a miss.

Cause: such answers are equal from request to request by nature, so duplicate_response.rs can't tell a copy by its bytes, and a connection was free for any request as soon as it had its answer.

Change: a connection that delivered a denial within the 250 ms in which duplicates come is not taken for an attempt whose request is not idempotent: another one is taken or opened. Attempts carry is_idempotent for that. It holds since every attempt takes its connection by remove_preferred_idle or has a new one, and a new one has delivered nothing. All other requests use these connections as before: a copied denial costs them one more attempt. Price: a connection opened where each idle one to a cache has just delivered a denial, for such requests only. Left: copies that come later than 250 ms while the connection is in use again, and copied refusals of reads.

--- a/crates/balancer/src/attempt.rs
+++ b/crates/balancer/src/attempt.rs
@@ -15,6 +15,9 @@
     /// The first byte may leave within this time only. Establishing a connection may take long, and the
     /// endpoint must still recognize a repeat as one when it arrives.
     pub begin_within: Span,
+    /// Whether the request may run more than once. If not, no answer that was made for another request may be taken for
+    /// this one's: it might say that nothing ran.
+    pub is_idempotent: bool,
 }
 
 /// What became of an attempt.
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -194,6 +194,8 @@
     /// Sends an attempt to an endpoint that is available.
     fn send(&mut self, now: Time, id: RequestId, target: EndpointId) -> Option<Attempt> {
         let begin_deadline = self.permission_gate(now).begin_deadline(self.requests.get(id)?);
+        let class = self.requests.get(id)?.request.request_class;
+        let is_idempotent = self.settings.request_class(class).effect == Effect::Idempotent;
         let pending = self.requests.get_mut(id)?;
         let request = pending.request;
         let sent = InFlightAttempt { request, endpoint: target, sent_at: now, in_flight: true };
@@ -205,6 +207,7 @@
             cache: target,
             timeout: pending.client_deadline - now,
             begin_within: begin_deadline - now,
+            is_idempotent,
         };
         self.attempts.insert(id, number, sent);
         self.requests.clear_waiting(priority);
--- a/crates/node/src/proxy/attempt_end.rs
+++ b/crates/node/src/proxy/attempt_end.rs
@@ -63,7 +63,8 @@
     }
 }
 
-fn outcome_of_response(response: &Message) -> AttemptOutcome {
+/// The outcome that the balancer is told of a complete response.
+pub(super) fn outcome_of_response(response: &Message) -> AttemptOutcome {
     match response.head.status {
         200 => AttemptOutcome::Fulfilled,
         404 => AttemptOutcome::CacheMiss,
--- a/crates/node/src/proxy/duplicate_response.rs
+++ b/crates/node/src/proxy/duplicate_response.rs
@@ -6,7 +6,8 @@
 //! request follows it.
 //!
 //! Responses without a body, and unsuccessful ones, are equal from request to request by nature, and their
-//! duplicates cannot be detected. Nor can duplicates where responses are equal for another reason, as where
+//! duplicates cannot be detected. A duplicate of one that denies that its request ran would have the next request sent
+//! again although it runs: while one may come, the connection carries no request that must not run twice. Nor can duplicates where responses are equal for another reason, as where
 //! each write is answered by the same word: unless a run of responses has differed from one to the next, none
 //! is taken for a duplicate.
 //!
@@ -17,6 +18,7 @@
 
 use granitelb_balancer::time::{Span, Time};
 
+use super::attempt_end::outcome_of_response;
 use crate::http::Message;
 
 /// A duplicate arrives within this time after the response.
@@ -30,6 +32,8 @@
     received_at: Time,
     /// None where a duplicate of it could not be detected.
     hash: Option<u64>,
+    /// Whether it says that its request did not run.
+    is_denial: bool,
 }
 
 /// The responses that one connection has recently delivered.
@@ -45,15 +49,29 @@
         if self.responses.len() >= MAX_REMEMBERED {
             self.responses.remove(0);
         }
-        self.responses.push(RememberedResponse { received_at: now, hash: hash_response(response) });
+        let is_denial = outcome_of_response(response).proves_not_executed();
+        self.responses.push(RememberedResponse {
+            received_at: now,
+            hash: hash_response(response),
+            is_denial,
+        });
+    }
+
+    /// Whether a response within the window said that its request did not run: a duplicate of it may still come.
+    pub(super) fn has_denial(&self, now: Time) -> bool {
+        let mut recent = self.recent(now);
+        recent.any(|remembered| remembered.is_denial)
+    }
+
+    fn recent(&self, now: Time) -> impl Iterator<Item = &RememberedResponse> {
+        self.responses.iter().filter(move |remembered| now - remembered.received_at < DUPLICATE_WINDOW)
     }
 
     /// Whether this response equals one that was received within the window.
     pub(super) fn contains(&self, now: Time, response: &Message) -> bool {
         let Some(hash) = hash_response(response) else { return false };
-        let recent =
-            self.responses.iter().filter(|remembered| now - remembered.received_at < DUPLICATE_WINDOW);
-        recent.into_iter().any(|remembered| remembered.hash == Some(hash))
+        let mut recent = self.recent(now);
+        recent.any(|remembered| remembered.hash == Some(hash))
     }
 }
 
--- a/crates/node/src/proxy/upstream/connecting.rs
+++ b/crates/node/src/proxy/upstream/connecting.rs
@@ -75,6 +75,7 @@
         let Some(upstream) = self.connections.get(&id) else { return };
         let Some(attempt) = &upstream.attempt else { return };
         let endpoint = upstream.endpoint;
+        let is_idempotent = attempt.is_idempotent;
         // No connection is opened or taken for a request that has its response. This one is kept for the next
         // attempt.
         if !cx.requests.is_pending(attempt.id.request) {
@@ -82,7 +83,7 @@
         }
         let next_check = self.next_delay_check(cx.now, endpoint, attempt);
         cx.transport.timers.set(id, next_check);
-        if let Some(idle) = self.take_idle(cx, endpoint) {
+        if let Some(idle) = self.take_idle(cx, endpoint, is_idempotent) {
             return self.reassign(cx, id, idle);
         }
         let may_open = self.surplus_connections(endpoint) < MAX_SURPLUS_CONNECTIONS
--- a/crates/node/src/proxy/upstream/connection.rs
+++ b/crates/node/src/proxy/upstream/connection.rs
@@ -27,6 +27,8 @@
     pub(super) start_deadline: Time,
     /// When its response is no longer waited for.
     pub(super) response_deadline: Time,
+    /// Whether its request may run more than once.
+    pub(super) is_idempotent: bool,
     /// The length of its request, once that was handed to the connection.
     pub(super) request_bytes: Option<usize>,
     /// Whether data arrived on the connection before the last byte of the request was sent.
@@ -92,6 +94,12 @@
         self.connection.close_reason().is_none() && self.connection.input.is_empty()
     }
 
+    /// Whether the connection may carry a request: no copy of an answer may still come that says that a request which
+    /// must not run twice did not run.
+    pub(super) fn is_fit_for(&self, now: Time, is_idempotent: bool) -> bool {
+        is_idempotent || !self.recent_responses.has_denial(now)
+    }
+
     /// How long ago it last made progress.
     pub(super) fn time_since_progress(&self, now: Time) -> Span {
         now - self.last_progress_at
--- a/crates/node/src/proxy/upstream/mod.rs
+++ b/crates/node/src/proxy/upstream/mod.rs
@@ -94,7 +94,7 @@
 
     /// Sends an attempt on an idle connection, or on a new one.
     pub fn send(&mut self, cx: &mut TurnContext<'_>, attempt: &Attempt, number: AttemptNumber) {
-        let idle = self.take_idle(cx, attempt.cache);
+        let idle = self.take_idle(cx, attempt.cache, attempt.is_idempotent);
         let opened = match idle {
             Some(id) => Ok(id),
             None => self.open(cx, attempt.cache),
@@ -113,6 +113,7 @@
             connect_deadline: cx.now + self.connect_timeout,
             start_deadline: cx.now + attempt.begin_within,
             response_deadline: cx.now + attempt.timeout,
+            is_idempotent: attempt.is_idempotent,
             request_bytes: None,
             has_early_data: false,
         };
@@ -136,9 +137,14 @@
 
     /// Takes an idle connection that the endpoint has not ended meanwhile: what is written to one that it has
     /// ended is lost.
-    fn take_idle(&mut self, cx: &mut TurnContext<'_>, endpoint: EndpointId) -> Option<ConnectionId> {
+    fn take_idle(
+        &mut self,
+        cx: &mut TurnContext<'_>,
+        endpoint: EndpointId,
+        is_idempotent: bool,
+    ) -> Option<ConnectionId> {
         loop {
-            let id = self.remove_preferred_idle(cx.now, endpoint)?;
+            let id = self.remove_preferred_idle(cx.now, endpoint, is_idempotent)?;
             let upstream = self.connections.get_mut(&id)?;
             upstream.connection.receive();
             if upstream.is_clean() {
@@ -153,19 +159,28 @@
 
     /// Removes from the pool the connection that was used last among those idle for long enough, else the one
     /// that has been idle for longest unless the endpoint is suspect.
-    fn remove_preferred_idle(&mut self, now: Time, endpoint: EndpointId) -> Option<ConnectionId> {
+    fn remove_preferred_idle(
+        &mut self,
+        now: Time,
+        endpoint: EndpointId,
+        is_idempotent: bool,
+    ) -> Option<ConnectionId> {
         let pool = self.pools.get_mut(&endpoint)?;
         let connections = &self.connections;
+        let is_fit = |id: &ConnectionId| {
+            connections.get(id).is_none_or(|upstream| upstream.is_fit_for(now, is_idempotent))
+        };
         let is_long_idle = |id: &ConnectionId| {
             let upstream = connections.get(id);
             upstream.is_none_or(|upstream| upstream.time_since_progress(now) >= PREFERRED_IDLE_TIME)
         };
         // They are in the order in which they became idle.
         let long_idle = pool.idle.partition_point(is_long_idle);
-        let index = match long_idle.checked_sub(1) {
-            Some(last) => last,
-            None if pool.is_suspect(now) || pool.idle.is_empty() => return None,
-            None => 0,
+        let preferred = pool.idle[..long_idle].iter().rposition(is_fit);
+        let index = match preferred {
+            Some(index) => index,
+            None if pool.is_suspect(now) => return None,
+            None => pool.idle.iter().position(is_fit)?,
         };
         Some(pool.idle.remove(index))
     }
--- a/crates/node/tests/upstream/fixture.rs
+++ b/crates/node/tests/upstream/fixture.rs
@@ -26,6 +26,8 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(8);
 /// Far less than the long messages of the tests: they stay with the node until they are read.
 const RECEIVE_BUFFER_BYTES: usize = 4096;
+/// How often a connection is looked for.
+const ACCEPT_POLL: Duration = Duration::from_millis(1);
 /// How long events are waited for.
 const EVENT_WAIT: Span = Span::from_millis(20);
 
@@ -94,12 +96,27 @@
         self.send_within(REQUEST_TIMEOUT, method, body)
     }
 
+    /// Sends a new request that must not run twice.
+    pub fn send_non_idempotent(&mut self) -> RequestId {
+        self.send_attempt(REQUEST_TIMEOUT, false, "GET", Vec::new()).0
+    }
+
     /// Sends a new request by an attempt that may start within this time.
     pub fn send_within(
         &mut self,
         begin_within: Span,
         method: &str,
         body: Vec<u8>,
+    ) -> (RequestId, AttemptNumber) {
+        self.send_attempt(begin_within, true, method, body)
+    }
+
+    fn send_attempt(
+        &mut self,
+        begin_within: Span,
+        is_idempotent: bool,
+        method: &str,
+        body: Vec<u8>,
     ) -> (RequestId, AttemptNumber) {
         self.last_request += 1;
         let number = self.last_request;
@@ -121,7 +138,8 @@
         let inserted = self.requests.insert(self.client, request, client_request_id, message);
         let id = inserted.expect("a new identifier");
         let attempt_number = self.requests.start_attempt(id).expect("a pending request");
-        let attempt = Attempt { request: id, cache: ENDPOINT, timeout: REQUEST_TIMEOUT, begin_within };
+        let attempt =
+            Attempt { request: id, cache: ENDPOINT, timeout: REQUEST_TIMEOUT, begin_within, is_idempotent };
         self.with_upstream(|upstream, turn| upstream.send(turn, &attempt, attempt_number));
         (id, attempt_number)
     }
@@ -217,7 +235,17 @@
 
     /// Accepts a connection as the endpoint.
     pub fn accept(&self) -> TcpStream {
-        let (stream, _) = self.listener.accept().expect("a connection");
+        self.listener.set_nonblocking(true).expect("a socket");
+        let start = Instant::now();
+        let stream = loop {
+            if let Ok((stream, _)) = self.listener.accept() {
+                break stream;
+            }
+            assert!(start.elapsed() < TEST_TIMEOUT, "no connection was opened");
+            std::thread::sleep(ACCEPT_POLL);
+        };
+        self.listener.set_nonblocking(false).expect("a socket");
+        stream.set_nonblocking(false).expect("a socket");
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a socket");
         stream
     }
