--- a/review/stand-ins/src/discovery.rs
+++ b/review/stand-ins/src/discovery.rs
@@ -40,6 +40,19 @@
     pub address: SocketAddr,
     state: Mutex<State>,
     changed: Condvar,
+    trouble: Mutex<Trouble>,
+}
+
+/// What goes wrong at discovery.
+#[derive(Clone, Copy, Default)]
+pub struct Trouble {
+    /// Watches that were opened before this number of calls say nothing more.
+    silent_before: usize,
+    calls: usize,
+    /// How many of the calls that come are refused, after how long a wait, and how long the others wait.
+    pub refused: usize,
+    pub refused_after: Duration,
+    pub answered_after: Duration,
 }
 
 impl Discovery {
@@ -50,6 +63,7 @@
             address: listener.local_addr().unwrap(),
             state: Mutex::new(state),
             changed: Condvar::new(),
+            trouble: Mutex::default(),
         });
         let served = discovery.clone();
         thread::spawn(move || {
@@ -75,6 +89,28 @@
         self.changed.notify_all();
     }
 
+    /// A cache server has started anew just now.
+    pub fn restart(&self, uid: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        for (changed_at, entry) in &mut state.entries {
+            if entry.uid == uid {
+                *changed_at = revision;
+                entry.boot_ms = now.as_millis() as u64;
+            }
+        }
+        self.changed.notify_all();
+    }
+
+    /// All open watches fall silent, and calls go as `trouble` says from now on.
+    pub fn silence_watches(&self, refused: usize, refused_after: Duration, answered_after: Duration) {
+        let mut trouble = self.trouble.lock().unwrap();
+        let calls = trouble.calls;
+        *trouble = Trouble { silent_before: calls, calls, refused, refused_after, answered_after };
+    }
+
     fn list(&self, after: Option<u64>) -> (u64, String) {
         let state = self.state.lock().unwrap();
         let since = after.unwrap_or(0);
@@ -97,13 +133,26 @@
                 let _ = reader.stream.write_all(&response(200, &[("Content-Type", "application/json")], list.as_bytes()));
                 continue;
             }
+            let (call, wait, is_refused) = {
+                let mut trouble = self.trouble.lock().unwrap();
+                trouble.calls += 1;
+                let is_refused = trouble.refused > 0;
+                trouble.refused = trouble.refused.saturating_sub(1);
+                let wait = if is_refused { trouble.refused_after } else { trouble.answered_after };
+                (trouble.calls, wait, is_refused)
+            };
+            thread::sleep(wait);
+            if is_refused {
+                let _ = reader.stream.write_all(&response(503, &[], b"too many calls\n"));
+                continue;
+            }
             let after = path.split("after=").nth(1).and_then(|text| text.parse::<u64>().ok());
-            let _ = self.watch(&mut reader, after);
+            let _ = self.watch(&mut reader, after, call);
             return;
         }
     }
 
-    fn watch(&self, reader: &mut Reader, after: Option<u64>) -> std::io::Result<()> {
+    fn watch(&self, reader: &mut Reader, after: Option<u64>, call: usize) -> std::io::Result<()> {
         reader.stream.write_all(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
         )?;
@@ -117,6 +166,11 @@
                 .unwrap();
             let is_changed = state.revision != told;
             drop(state);
+            if call <= self.trouble.lock().unwrap().silent_before {
+                // The connection stays open, and nothing comes on it.
+                thread::sleep(Duration::from_secs(60));
+                return Ok(());
+            }
             if is_changed {
                 let (revision, list) = self.list(Some(told));
                 told = revision;
