--- a/review/stand-ins/src/bin/cold-burst.rs
+++ b/review/stand-ins/src/bin/cold-burst.rs
@@ -27,7 +27,7 @@
     let world = World::new(Record::create(&path), caches);
     let mut entries = Vec::new();
     for index in 0..caches {
-        let settings = Settings { name: format!("cache-{index}"), cache: None, work_ms: (60.0, 60.0), slots: 1, queue: 3, second_answers: None };
+        let settings = Settings { name: format!("cache-{index}"), cache: None, work_ms: (60.0, 60.0), slots: 1, queue: 3, second_answers: None, refusal_ms: (0.0, 0.0) };
         let server = servers::start(settings, &world, index as u64);
         entries.push(Entry { uid: format!("s-{index}"), address: server.address, zone: "ebene".into(), kind: "std-1".into(), cell: 0, state: "active".into(), size: 1.0, boot_ms: 0 });
     }
--- a/review/stand-ins/src/bin/leaving-clients.rs
+++ b/review/stand-ins/src/bin/leaving-clients.rs
@@ -26,6 +26,7 @@
             slots: 1,
             queue: 3,
             second_answers: None,
+            refusal_ms: (0.0, 0.0),
         };
         let server = servers::start(settings, &world, index as u64);
         let kind = if is_origin { "origin" } else { "std-1" };
--- a/review/stand-ins/src/bin/long-deadline-restart.rs
+++ b/review/stand-ins/src/bin/long-deadline-restart.rs
@@ -54,6 +54,7 @@
             slots: 4,
             queue: 20,
             second_answers: None,
+            refusal_ms: (0.0, 0.0),
         };
         let cache = servers::start(settings, &world, 100 + index as u64);
         entries.push(Entry {
--- a/review/stand-ins/src/bin/run-twice.rs
+++ b/review/stand-ins/src/bin/run-twice.rs
@@ -34,6 +34,7 @@
             slots: if is_origin { env("SLOTS", 4.0) as usize } else { 1 },
             queue: if is_origin { env("QUEUE", 1.0) as usize } else { 3 },
             second_answers: second,
+            refusal_ms: (0.5, 3.0),
         };
         let server = servers::start(settings, &world, 40 + index as u64);
         let kind = if is_origin { "origin" } else { "std-1" };
--- a/review/stand-ins/src/bin/second-answers.rs
+++ b/review/stand-ins/src/bin/second-answers.rs
@@ -1,4 +1,4 @@
-//! Case 1: a second answer comes some milliseconds after a cache server's answer.
+//! Case 1, first part: a second answer comes some milliseconds after a cache server's answer.
 //!
 //! Six nodes as in `mu-loans-east`, each beside a client process that reads accounts one after another and
 //! posts a repayment now and then. The check: each 200 that a client gets holds a body that a cache server or
@@ -21,7 +21,7 @@
 const NODES: usize = 6;
 const CACHES: usize = 9;
 const KEYS: usize = 800;
-const SECONDS: u64 = 90;
+const SECONDS: u64 = 40;
 
 #[derive(Default)]
 struct Counts {
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -32,6 +32,7 @@
             slots: 1,
             queue: 3,
             second_answers,
+            refusal_ms: (0.0, 0.0),
         };
         let server = servers::start(settings, world, 100 + index as u64);
         entries.push(entry(&format!("s-{index}"), server.address, index, "std-1"));
@@ -44,6 +45,7 @@
         slots: 12,
         queue: 24,
         second_answers,
+        refusal_ms: (0.0, 0.0),
     };
     let origin = servers::start(origin, world, 99);
     entries.push(entry("s-origin", origin.address, 0, "origin"));
--- a/review/stand-ins/src/servers.rs
+++ b/review/stand-ins/src/servers.rs
@@ -43,6 +43,11 @@
         })
     }
 
+    /// All cache servers are empty.
+    pub fn forget_stores(&self) {
+        self.stores.lock().unwrap().iter_mut().for_each(HashMap::clear);
+    }
+
     pub fn done(&self, id: &str) -> Done {
         self.done.lock().unwrap().get(id).cloned().unwrap_or_default()
     }
@@ -67,6 +72,8 @@
     /// How many may wait.
     pub queue: usize,
     pub second_answers: Option<SecondAnswers>,
+    /// How long it takes to turn a request away, in milliseconds.
+    pub refusal_ms: (f64, f64),
 }
 
 struct Server {
@@ -175,6 +182,9 @@
             }
         }
         if !self.run() {
+            let (low, high) = self.settings.refusal_ms;
+            let refusal_ms = self.random.lock().unwrap().between(low, high);
+            thread::sleep(Duration::from_micros((refusal_ms * 1000.0) as u64));
             record.line(&format!("{name} turned-away id={id}"));
             let headers = [("Date", &date()[..]), ("X-Not-Processed", "1")];
             return Some(Answer { status: 503, bytes: response(503, &headers, b"queue full\n") });
