--- a/review/stand-ins-2/src/bin/gone-clients.rs
+++ b/review/stand-ins-2/src/bin/gone-clients.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::fs;
-use std::io::{BufReader, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -22,6 +22,8 @@
 /// Payments that one of them sends, and the length of each.
 const PAYMENTS: usize = 120;
 const PAYMENT_BYTES: usize = 4 * 1024;
+/// How many are posted one by one where clients don't go.
+const POSTED_ONE_BY_ONE: usize = 4;
 /// How long a payment takes at the origin.
 const WORK: Duration = Duration::from_millis(300);
 /// An attempt may begin this long after the close: 0.1 s, and 50 ms that each limit is longer on sockets.
@@ -89,43 +91,39 @@
         }
     }
     record.say(&format!(
-        "{} clients sent {PAYMENTS} payments each; {} attempts in all, {late} began more than {ALLOWED_MS} ms after their \
+        "{} clients sent {} payments each; {} attempts in all, {late} began more than {ALLOWED_MS} ms after their \
          client had gone",
         ROUNDS * GONE_PER_ROUND,
+        if has_trouble() { PAYMENTS } else { POSTED_ONE_BY_ONE },
         book.attempts.len()
     ));
     record.end(if late > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
-/// Sends payments in one go. With the disruption it closes its connection then, else it waits for the answers.
+/// Sends payments in one go and closes the connection. Without the disruption, some of them are posted one
+/// after another, each when the one before is answered.
 fn send_and_go(record: &Record, book: &Mutex<Book>, node: SocketAddr, name: &str) {
-    let ids: Vec<String> = (0..PAYMENTS).map(|payment| format!("{name}p{payment:02}")).collect();
+    let ids: Vec<String> = (0..PAYMENTS).map(|payment| format!("{name}p{payment:03}")).collect();
     let value = "7".repeat(PAYMENT_BYTES);
-    let all: Vec<u8> = ids
-        .iter()
-        .flat_map(|id| client::put("repayment-post", &format!("a{name}"), id, TIMEOUT_MS, None, &value))
-        .collect();
-    let Ok(mut stream) = TcpStream::connect(node) else { return };
-    record.line(&format!("client {name} sends {PAYMENTS} payments, {} bytes", all.len()));
-    let sent = stream.write_all(&all);
+    let text = |id: &str| client::put("repayment-post", &format!("a{name}"), id, TIMEOUT_MS, None, &value);
     if has_trouble() {
+        let all: Vec<u8> = ids.iter().flat_map(|id| text(id)).collect();
+        let Ok(mut stream) = TcpStream::connect(node) else { return };
+        record.line(&format!("client {name} sends {PAYMENTS} payments, {} bytes", all.len()));
+        let sent = stream.write_all(&all);
         drop(stream);
-        let at = record.ms();
         record.line(&format!("client {name} has closed its connection ({sent:?})"));
-        book.lock().unwrap().closed.extend(ids.into_iter().map(|id| (id, at)));
-        return;
-    }
-    let _ = stream.set_read_timeout(Some(Duration::from_millis(TIMEOUT_MS + 550)));
-    let mut reader = BufReader::new(stream);
-    for id in &ids {
-        match http::read(&mut reader) {
-            Ok(Some(answer)) => record.line(&format!("client {name} has {id} {}", answer.status())),
-            other => {
-                record.line(&format!("client {name}: {other:?}"));
-                return;
-            }
+    } else {
+        let mut client = Client::new(node);
+        for id in &ids[..POSTED_ONE_BY_ONE] {
+            let end = client.call(&text(id), Duration::from_millis(TIMEOUT_MS + 550));
+            record.line(&format!("client {name} has {id} {end:?}"));
         }
+        drop(client);
+        record.line(&format!("client {name} has closed its connection"));
     }
+    let at = record.ms();
+    book.lock().unwrap().closed.extend(ids.into_iter().map(|id| (id, at)));
 }
 
 fn read_as_usual(record: &Record, node: SocketAddr, round: usize) {
