Read all of a client's input as it arrives, so that its disconnect is noticed

Cause: the node read 16 KiB ahead and no further while a request was in progress. What was sent beyond the buffers closed the receive window, and the FIN waited behind it at the client's machine.

Evidence: in those 0.3 s /proc/net/tcp shows the node's socket established with 107,331 bytes unread, the client's in FIN-WAIT-1 with 382,988 unsent. That a wait for the reset which an answer draws would do is ruled out by clients that only end their sending: they never reset, and the former text forwards for them too.

Change: input is decoded as it arrives (Pipeline), also while a request is in progress or a response is written. Requests sent ahead take at most 80 KiB of memory, the longest message; those in excess are read, counted and rejected in their turn with 429 and the time to come back. A request has its turn once all that had arrived was read (0.25 s at most) and the message behind it is complete (0.1 s at most). Memory per client counts as 352 KiB in place of 272 KiB, so that fewer clients are served where memory is short. Arrival times need no record any more: a message is decoded when it arrives.

--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -86,6 +86,13 @@
         forwarded.map(|(name, value)| (&name[..], &value[..]))
     }
 
+    /// The memory that the head has allocated, in bytes.
+    fn allocated_bytes(&self) -> usize {
+        let texts: usize = self.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let entries = self.headers.len() * size_of::<(String, Vec<u8>)>();
+        self.method.len() + self.target.len() + texts + entries
+    }
+
     fn is_hop_by_hop(&self, name: &str) -> bool {
         let is_known = HOP_BY_HOP_HEADERS.iter().any(|header| name.eq_ignore_ascii_case(header));
         is_known || self.has_token("connection", name)
@@ -101,6 +108,13 @@
     pub body: Vec<u8>,
 }
 
+impl Message {
+    /// The memory that the message takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Message>() + self.head.allocated_bytes() + self.body.len()
+    }
+}
+
 /// Why received bytes are not a valid message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ParseError {
--- a/crates/node/src/http/message_decoder.rs
+++ b/crates/node/src/http/message_decoder.rs
@@ -7,19 +7,27 @@
 /// Largest body of a message in bytes, as limited by the protocol.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// The message that is being read, once its head is complete.
+struct IncompleteMessage {
+    message: Message,
+    /// The length of the body so far, also where it is discarded.
+    body_bytes: usize,
+    /// Whether the body is discarded.
+    discards_body: bool,
+}
+
 /// Decodes the messages of one direction of a connection, and enforces the limit on their bodies.
 ///
 /// Interim responses (status 1xx) are consumed and not returned.
 pub struct MessageDecoder {
     parser: Parser,
-    /// The message that is being read, once its head is complete.
-    message: Option<Message>,
+    incomplete: Option<IncompleteMessage>,
 }
 
 impl MessageDecoder {
     /// Creates a decoder of requests or of responses.
     pub fn new(kind: MessageKind) -> MessageDecoder {
-        MessageDecoder { parser: Parser::new(kind), message: None }
+        MessageDecoder { parser: Parser::new(kind), incomplete: None }
     }
 
     /// Whether the decoder is between two messages: no part of the next message has been consumed.
@@ -29,7 +37,24 @@
 
     /// The head of the message that is being read, once the head is complete.
     pub fn head(&self) -> Option<&MessageHead> {
-        self.message.as_ref().map(|message| &message.head)
+        self.incomplete.as_ref().map(|incomplete| &incomplete.message.head)
+    }
+
+    /// The memory that the body of the incomplete message takes, in bytes, including what is reserved for the
+    /// bytes that it announces.
+    pub fn incomplete_body_bytes(&self) -> usize {
+        self.incomplete
+            .as_ref()
+            .map_or(0, |incomplete| incomplete.message.body.capacity().min(MAX_BODY_BYTES))
+    }
+
+    /// Discards the body of the incomplete message, also the part that has yet to be read. The message is
+    /// still returned once it is complete, without its body.
+    pub fn discard_body(&mut self) {
+        if let Some(incomplete) = &mut self.incomplete {
+            incomplete.discards_body = true;
+            incomplete.message.body = Vec::new();
+        }
     }
 
     /// The next complete message, or `None` if more input is needed.
@@ -44,7 +69,9 @@
                 MessagePart::Head(head) => self.begin_message(head)?,
                 MessagePart::Body(bytes) => self.append_to_body(&bytes)?,
                 MessagePart::End => {
-                    let Some(mut message) = self.message.take() else { continue };
+                    let Some(IncompleteMessage { mut message, .. }) = self.incomplete.take() else {
+                        continue;
+                    };
                     let is_interim = (100..200).contains(&message.head.status);
                     if !is_interim {
                         message.body.shrink_to_fit();
@@ -58,7 +85,10 @@
 
     /// The message that ends with the connection, if the body of the current message is delimited that way.
     pub fn finish(&mut self) -> Option<Message> {
-        if self.parser.ends_at_close() { self.message.take() } else { None }
+        if !self.parser.ends_at_close() {
+            return None;
+        }
+        self.incomplete.take().map(|incomplete| incomplete.message)
     }
 
     fn begin_message(&mut self, head: MessageHead) -> Result<(), ParseError> {
@@ -68,16 +98,20 @@
         if announced > MAX_BODY_BYTES {
             return Err(ParseError::BodyTooLarge);
         }
-        self.message = Some(Message { head, body: Vec::with_capacity(announced) });
+        let message = Message { head, body: Vec::with_capacity(announced) };
+        self.incomplete = Some(IncompleteMessage { message, body_bytes: 0, discards_body: false });
         Ok(())
     }
 
     fn append_to_body(&mut self, bytes: &[u8]) -> Result<(), ParseError> {
-        let Some(message) = &mut self.message else { return Err(ParseError::Malformed) };
-        message.body.extend(bytes);
-        if message.body.len() > MAX_BODY_BYTES {
+        let Some(incomplete) = &mut self.incomplete else { return Err(ParseError::Malformed) };
+        incomplete.body_bytes += bytes.len();
+        if incomplete.body_bytes > MAX_BODY_BYTES {
             return Err(ParseError::BodyTooLarge);
         }
+        if !incomplete.discards_body {
+            incomplete.message.body.extend(bytes);
+        }
         Ok(())
     }
 }
--- a/crates/node/src/proxy/downstream/client.rs
+++ b/crates/node/src/proxy/downstream/client.rs
@@ -1,12 +1,17 @@
 //! A client's connection and its state.
 
 use granitelb_balancer::ids::RequestId;
-use granitelb_balancer::time::Time;
+use granitelb_balancer::time::{Span, Time};
 
-use crate::http::{MessageDecoder, MessageKind};
-use crate::proxy::arrival_times::ArrivalTimes;
+use super::pipeline::Pipeline;
 use crate::transport::Connection;
 
+/// How long a request waits at most while its client sends faster than the node reads.
+const MAX_UNREAD_DELAY: Span = Span::from_millis(250);
+/// How long a request waits at most for the rest of an incomplete message behind it. The rest is on its way,
+/// also where none of it has reached this machine yet.
+const MAX_INCOMPLETE_DELAY: Span = Span::from_millis(100);
+
 /// The state of a client's connection.
 #[derive(Clone, Copy)]
 pub(super) enum ClientState {
@@ -27,9 +32,11 @@
 /// A client's connection.
 pub(super) struct Client {
     pub(super) connection: Connection,
-    pub(super) decoder: MessageDecoder,
-    pub(super) arrivals: ArrivalTimes,
+    /// The requests that have not had their turn.
+    pub(super) pipeline: Pipeline,
     pub(super) state: ClientState,
+    /// Since when no request before the next one is in progress.
+    pub(super) next_since: Time,
     /// Whether `100 Continue` was sent for the request that is being read.
     pub(super) sent_continue: bool,
     /// Whether the client keeps the connection open after its current request.
@@ -40,12 +47,12 @@
 
 impl Client {
     /// Creates the state of a client that has just connected.
-    pub(super) fn new(connection: Connection) -> Client {
+    pub(super) fn new(connection: Connection, now: Time) -> Client {
         Client {
             connection,
-            decoder: MessageDecoder::new(MessageKind::Request),
-            arrivals: ArrivalTimes::default(),
+            pipeline: Pipeline::default(),
             state: ClientState::Reading,
+            next_since: now,
             sent_continue: false,
             keep_alive: true,
             is_new: true,
@@ -55,32 +62,75 @@
     /// Whether the client is between two requests.
     pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, ClientState::Reading)
-            && self.decoder.is_between_messages()
+            && self.pipeline.is_idle()
             && self.connection.input.is_empty()
     }
 
-    /// Whether a request is in progress.
-    pub(super) fn is_awaiting_response(&self) -> bool {
-        matches!(self.state, ClientState::AwaitingResponse(_))
-    }
-
     /// Whether the last response was written.
     pub(super) fn is_lingering(&self) -> bool {
         matches!(self.state, ClientState::Lingering)
     }
 
-    /// Receives data by calling `receive`, records its arrival, and returns whether there was any.
-    pub(super) fn receive(&mut self, now: Time, receive: impl FnOnce(&mut Connection)) -> bool {
-        let buffered = self.connection.input.len();
-        receive(&mut self.connection);
-        let arrived = self.connection.input.len() - buffered;
-        self.arrivals.record(arrived, now);
-        arrived > 0
+    /// Receives and decodes what the operating system has buffered, with at most `max_reads` reads. Returns
+    /// whether everything was received.
+    pub(super) fn receive(&mut self, now: Time, max_reads: usize) -> bool {
+        for _ in 0..max_reads {
+            self.connection.receive();
+            self.decode(now);
+            if self.connection.is_drained() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Receives and discards what the operating system has buffered, with at most `max_reads` reads.
+    pub(super) fn discard_input(&mut self, max_reads: usize) {
+        for _ in 0..max_reads {
+            self.connection.input.clear();
+            if self.connection.is_drained() {
+                return;
+            }
+            self.connection.receive();
+        }
+    }
+
+    /// Decodes the received input. The input of a lingering client is discarded.
+    fn decode(&mut self, now: Time) {
+        if self.is_lingering() {
+            self.connection.input.clear();
+        } else {
+            self.pipeline.decode(&mut self.connection.input, now);
+        }
+    }
+
+    /// Until when the next request waits, at most, for more of the input; `None` if its turn has come.
+    ///
+    /// While the client has sent more than was read, the end of the connection may stand behind that.
+    pub(super) fn reads_on_until(&self, now: Time) -> Option<Time> {
+        let waits_since = self.next_since.max(self.pipeline.next_arrived_at()?);
+        let deadline = waits_since + self.max_read_delay()?;
+        (now < deadline).then_some(deadline)
+    }
+
+    /// How long the next request waits at most for more of the input; `None` if nothing shows that there is
+    /// more.
+    fn max_read_delay(&self) -> Option<Span> {
+        if !self.connection.is_drained() {
+            return Some(MAX_UNREAD_DELAY);
+        }
+        let is_amid_message = self.pipeline.is_amid_message() || !self.connection.input.is_empty();
+        is_amid_message.then_some(MAX_INCOMPLETE_DELAY)
+    }
+
+    /// Whether the connection is kept open after the response to the current request.
+    pub(super) fn keeps_alive(&self, is_shutting_down: bool) -> bool {
+        self.keep_alive && !is_shutting_down
     }
 
     /// Writes `100 Continue` if the client waits for that response, and returns whether it was written.
     pub(super) fn send_continue_if_expected(&mut self) -> bool {
-        let head = self.decoder.head();
+        let head = self.pipeline.incomplete_head();
         let is_expected = head.is_some_and(|head| head.has_token("expect", "100-continue"));
         if !is_expected || self.sent_continue {
             return false;
--- a/crates/node/src/proxy/downstream/client_limits.rs
+++ b/crates/node/src/proxy/downstream/client_limits.rs
@@ -1,5 +1,7 @@
 //! Limits on the number of clients, derived from the resources that the node may use.
 
+use super::pipeline::READ_AHEAD_BYTES;
+
 /// The share of descriptors for served clients. The rest is enough for an attempt of each request, and for
 /// some attempts of finished requests that are still in flight.
 const SERVED_CLIENTS_SHARE: f64 = 0.4;
@@ -10,10 +12,10 @@
 const IDLE_CLIENTS_SHARE: f64 = 0.2;
 /// The share of memory that clients may use.
 const MEMORY_SHARE: f64 = 0.75;
-/// The memory in bytes that one client may use: its input buffer, and four bodies of the maximum length (in
-/// its request, in the request to an endpoint, in the endpoint's response, and in the response to the
-/// client).
-const BYTES_PER_CLIENT: usize = (16 + 4 * 64) * 1024;
+/// The memory in bytes that one client may use: its input buffer, the requests that it has sent ahead, and
+/// four bodies of the maximum length (in its request, in the request to an endpoint, in the endpoint's
+/// response, and in the response to the client).
+const BYTES_PER_CLIENT: usize = READ_AHEAD_BYTES + (16 + 4 * 64) * 1024;
 
 /// The resources that a node may use.
 #[derive(Clone, Copy, Debug)]
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -1,10 +1,13 @@
 //! The downstream side: receives requests on clients' connections and delivers the responses.
 //!
-//! Invariants: a client has at most one request in progress, and no further request is taken from its input
-//! until that one is answered; each connection has a timer, so that no connection outlives a vanished peer.
+//! Invariants: a client has at most one request in progress, and no further request has its turn until that
+//! one is answered; everything that clients send is read as it arrives, also while a request is in progress,
+//! and no request has its turn before all that had arrived by then was read, so that the end of a connection
+//! is noticed first; each connection has a timer, so that no connection outlives a vanished peer.
 
 mod client;
 mod client_limits;
+mod pipeline;
 mod request_decoder;
 mod requests;
 
@@ -17,15 +20,14 @@
 use self::client::{Client, ClientState};
 use self::client_limits::ClientLimits;
 pub(super) use self::client_limits::ResourceLimits;
+pub use self::pipeline::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
 use self::request_decoder::RequestDecoder;
 use self::requests::write_with_retry_after;
 use super::final_response::FinalResponse;
 use super::request_table::UndeliveredResponse;
 use super::turn_context::TurnContext;
 use crate::http::{write_local_reply, write_response};
-use crate::transport::{
-    CloseReason, Connection, ConnectionId, Listener, Owner, ReadinessEvent, TimeQueue, Transport,
-};
+use crate::transport::{CloseReason, ConnectionId, Listener, Owner, ReadinessEvent, TimeQueue, Transport};
 
 /// The first message of a client must be complete this long after the client connected, a later message this
 /// long after its first byte. An incomplete message must get an error or a close within 3 s, and no client
@@ -45,9 +47,15 @@
 /// How long a rejected client may go on sending before its connection is closed. If the connection were
 /// closed at once, the response could be lost in transit.
 const LINGER_TIME: Span = Span::from_millis(1000);
-/// The most reads before a connection is closed. Each read fills the input buffer; together they take more
+/// The most reads from a connection in one turn. Each read fills the input buffer; together they take more
 /// than a message of the maximum length.
-const MAX_FINAL_READS: usize = 8;
+const MAX_READS_PER_TURN: usize = 8;
+/// The most reads that discard the input of a client which has disconnected: together they take more than the
+/// system buffers for a connection. A close with unread input would reset the connection.
+const MAX_DISCARDING_READS: usize = 512;
+/// The most rejections of requests in excess that are written at once, and how often that is done in a turn.
+const MAX_EXCESS_REPLIES: u64 = 64;
+const MAX_EXCESS_WRITES_PER_TURN: usize = 16;
 
 /// The downstream side: the connections of all clients.
 pub(super) struct Downstream {
@@ -128,7 +136,7 @@
     pub(super) fn accept(&mut self, transport: &mut Transport, listener: &mut Listener, now: Time) -> bool {
         let Some(connection) = listener.accept(transport, self.owner) else { return false };
         let id = connection.id();
-        self.clients.insert(id, Client::new(connection));
+        self.clients.insert(id, Client::new(connection, now));
         self.evict_first.set(id, now);
         transport.mark_idle(id, now);
         transport.timers.set(id, now + MESSAGE_TIMEOUT);
@@ -138,29 +146,27 @@
     /// Handles an event of a connection.
     pub(super) fn on_event(&mut self, cx: &mut TurnContext<'_>, event: ReadinessEvent) {
         let Some(client) = self.clients.get_mut(&event.id) else { return };
-        client.receive(cx.now, |connection| connection.on_event(&event));
-        self.advance(cx, event.id);
-        // A request and the end of its connection may arrive together, also after the event was reported. The
-        // end follows the request, so the rest of the input is read before the request is reported: otherwise
-        // the request would be forwarded for a client that has disconnected.
-        let is_awaiting = self.clients.get(&event.id).is_some_and(Client::is_awaiting_response);
-        if event.read_closed || event.closed || is_awaiting {
-            self.receive_all(cx, event.id);
-        }
+        client.connection.on_event(&event);
+        self.receive_and_advance(cx, event.id);
     }
 
-    /// Receives what the operating system has buffered for a connection, and its end. Returns whether
-    /// everything was received within [`MAX_FINAL_READS`].
-    fn receive_all(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> bool {
-        for _ in 0..MAX_FINAL_READS {
-            let Some(client) = self.clients.get_mut(&id) else { return true };
-            let has_received = client.receive(cx.now, Connection::receive);
-            self.advance(cx, id);
-            if !has_received {
-                return true;
-            }
+    /// Receives what the operating system has buffered for a connection, including its end, and handles it.
+    /// Returns whether everything was received within [`MAX_READS_PER_TURN`].
+    ///
+    /// A request and the end of its connection may arrive together. The end follows the request, so the rest
+    /// of the input is read before the request has its turn: otherwise the request would be forwarded for a
+    /// client that has disconnected.
+    fn receive_and_advance(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return true };
+        let has_received_all = client.receive(cx.now, MAX_READS_PER_TURN);
+        if !has_received_all && client.connection.is_end_reported() {
+            // The client has disconnected: the end stands behind what was not read yet.
+            client.discard_input(MAX_DISCARDING_READS);
+            self.close(cx, id, CloseReason::ClosedByPeer);
+            return true;
         }
-        false
+        self.advance(cx, id);
+        has_received_all
     }
 
     /// Handles the timer of a connection.
@@ -178,11 +184,11 @@
     fn on_read_timeout(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
         // Data that the operating system has buffered arrived in time: one turn reads only a part of a long
         // message.
-        self.receive_all(cx, id);
+        self.receive_and_advance(cx, id);
         let Some(client) = self.clients.get(&id) else { return };
         if client.is_idle() {
             self.close(cx, id, CloseReason::NoLongerNeeded);
-        } else if matches!(client.state, ClientState::Reading) {
+        } else if matches!(client.state, ClientState::Reading) && client.pipeline.is_empty() {
             // The sender of an incomplete message gets an error response before the connection is closed.
             self.reject(cx, id, 408);
             self.advance(cx, id);
@@ -192,7 +198,7 @@
     /// Closes a connection that is idle, has sent no complete message, or is lingering. A request that a last
     /// read finds on the connection keeps it open: a request that has arrived must not be lost.
     pub(super) fn evict(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
-        let has_read_all = self.receive_all(cx, id);
+        let has_read_all = self.receive_and_advance(cx, id);
         let Some(client) = self.clients.get(&id) else { return };
         let is_unused = has_read_all && (client.is_idle() || client.is_new);
         if is_unused || client.is_lingering() {
@@ -233,7 +239,7 @@
             ClientState::AwaitingResponse(request) if request == undelivered.request => {}
             _ => return,
         }
-        let keep_alive = client.keep_alive && self.shutdown_deadline.is_none();
+        let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
         let output = &mut client.connection.output;
         match &undelivered.response {
             FinalResponse::Upstream(message) => write_response(output, message, keep_alive),
@@ -243,8 +249,14 @@
             FinalResponse::Local(LocalReply::Errored) => write_local_reply(output, 502, &[], keep_alive),
             FinalResponse::ClientDisconnected => return,
         }
+        let has_next = !client.pipeline.is_empty();
         self.begin_writing(cx, id, keep_alive);
-        self.advance(cx, id);
+        if has_next {
+            // The client may have disconnected since its next request was read.
+            self.receive_and_advance(cx, id);
+        } else {
+            self.advance(cx, id);
+        }
     }
 
     fn begin_writing(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, keep_alive: bool) {
@@ -255,7 +267,8 @@
 
     /// Writes pending output and handles received data, as far as the connection allows now.
     fn advance(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
-        loop {
+        let mut excess_writes = 0;
+        while excess_writes < MAX_EXCESS_WRITES_PER_TURN {
             let Some(client) = self.clients.get_mut(&id) else { return };
             if let Err(reason) = client.connection.flush() {
                 return self.close(cx, id, reason);
@@ -264,23 +277,24 @@
                 ClientState::WritingResponse { .. } if !client.connection.output.is_empty() => break,
                 ClientState::WritingResponse { keep_alive: false } => self.linger(cx, id),
                 ClientState::WritingResponse { keep_alive: true } => {
-                    // The loop goes on with data that is already buffered. Further data is received in the
-                    // next turn, so that a client which sends without end does not delay this turn.
+                    // The loop goes on with requests that were already read. Further data is received in
+                    // the next turn, so that a client which sends without end does not delay this turn.
                     client.state = ClientState::Reading;
+                    client.next_since = cx.now;
                 }
-                ClientState::Lingering => {
-                    client.connection.input.clear();
-                    break;
-                }
-                ClientState::AwaitingResponse(_) => break,
-                ClientState::Reading => match client.decoder.next(&mut client.connection.input) {
-                    Ok(Some(message)) => self.on_message(cx, id, message),
-                    Ok(None) => {
-                        if !client.send_continue_if_expected() {
-                            break;
-                        }
+                ClientState::Lingering | ClientState::AwaitingResponse(_) => break,
+                ClientState::Reading if client.reads_on_until(cx.now).is_some() => break,
+                ClientState::Reading => match client.pipeline.pop(MAX_EXCESS_REPLIES) {
+                    Some(PipelineEntry::Request { message, arrived_at }) => {
+                        self.on_message(cx, id, message, arrived_at);
+                    }
+                    Some(PipelineEntry::Excess { count }) => {
+                        self.reject_excess(cx, id, count);
+                        excess_writes += 1;
                     }
-                    Err(error) => self.reject(cx, id, error.status()),
+                    Some(PipelineEntry::Invalid(error)) => self.reject(cx, id, error.status()),
+                    None if client.send_continue_if_expected() => {}
+                    None => break,
                 },
             }
         }
@@ -306,7 +320,8 @@
         if !client.is_idle() {
             cx.transport.mark_busy(id);
             // The first byte of a message sets the timer, and later bytes that trickle in do not postpone it.
-            cx.transport.timers.set_earlier(id, cx.now + MESSAGE_TIMEOUT);
+            let timeout = client.reads_on_until(cx.now).unwrap_or(cx.now + MESSAGE_TIMEOUT);
+            cx.transport.timers.set_earlier(id, timeout);
         } else if self.closes_idle {
             // The client's last response was begun before the shutdown and did not announce the close.
             self.linger(cx, id);
@@ -323,6 +338,8 @@
     fn linger(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.connection.shutdown_write();
+        client.connection.input.clear();
+        client.pipeline = Pipeline::default();
         client.state = ClientState::Lingering;
         self.evict_first.set(id, cx.now);
         cx.transport.mark_busy(id);
--- /dev/null
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -0,0 +1,162 @@
+//! The requests that a client has sent ahead of their turn (HTTP pipelining).
+//!
+//! A connection carries one request at a time, but its input is decoded as soon as it arrives, also while a
+//! request is in progress. The end of a connection stands behind all that its client sent before, so the
+//! client's leaving is noticed only by reading everything.
+//!
+//! Invariants: entries are taken in the order in which the client sent them; what is held, including the
+//! body that is being read, takes at most [`READ_AHEAD_BYTES`]; each complete message is either held or
+//! counted as in excess, until the first message that ends the input.
+
+use std::collections::VecDeque;
+
+use granitelb_balancer::time::Time;
+
+use crate::http::{Message, MessageDecoder, MessageHead, MessageKind, ParseError};
+use crate::transport::RingBuffer;
+
+/// The most memory, in bytes, for what a client has sent ahead. A message of the maximum length fits.
+pub const READ_AHEAD_BYTES: usize = 80 * 1024;
+
+/// What has its turn next on a connection.
+#[derive(Debug)]
+pub enum PipelineEntry {
+    /// A complete request.
+    Request {
+        /// The request's message.
+        message: Message,
+        /// When the last byte of the request arrived.
+        arrived_at: Time,
+    },
+    /// Complete requests that exceeded the memory for requests sent ahead. Their content was discarded, and
+    /// each of them is owed a rejection.
+    Excess {
+        /// The number of requests.
+        count: u64,
+    },
+    /// Input that is not a valid request. Nothing behind it can be read.
+    Invalid(ParseError),
+}
+
+/// The requests of one connection that have not had their turn, in order.
+pub struct Pipeline {
+    decoder: MessageDecoder,
+    entries: VecDeque<PipelineEntry>,
+    /// The memory of the messages in `entries`, in bytes.
+    held_bytes: usize,
+    /// Whether the body of the incomplete message is discarded, for lack of memory.
+    is_discarding: bool,
+    /// Whether the last request was received: one that asks to close the connection, or an invalid one. All
+    /// further input is discarded.
+    has_ended: bool,
+}
+
+impl Default for Pipeline {
+    fn default() -> Pipeline {
+        Pipeline {
+            decoder: MessageDecoder::new(MessageKind::Request),
+            entries: VecDeque::new(),
+            held_bytes: 0,
+            is_discarding: false,
+            has_ended: false,
+        }
+    }
+}
+
+impl Pipeline {
+    /// Decodes input whose last byte has arrived at `now`. All of it is consumed, except for an incomplete
+    /// line.
+    pub fn decode(&mut self, input: &mut RingBuffer, now: Time) {
+        while !self.has_ended {
+            match self.decoder.next(input) {
+                Ok(Some(message)) => self.push(message, now),
+                Ok(None) => break,
+                Err(error) => {
+                    self.entries.push_back(PipelineEntry::Invalid(error));
+                    self.has_ended = true;
+                }
+            }
+        }
+        if self.has_ended {
+            input.clear();
+        } else if self.decoder.incomplete_body_bytes() > self.available_bytes() {
+            self.decoder.discard_body();
+            self.is_discarding = true;
+        }
+    }
+
+    /// Takes the next entry. Requests in excess are taken at most `max_excess` at a time.
+    pub fn pop(&mut self, max_excess: u64) -> Option<PipelineEntry> {
+        if let Some(PipelineEntry::Excess { count }) = self.entries.front_mut()
+            && *count > max_excess
+        {
+            *count -= max_excess;
+            return Some(PipelineEntry::Excess { count: max_excess });
+        }
+        let entry = self.entries.pop_front()?;
+        if let PipelineEntry::Request { message, .. } = &entry {
+            self.held_bytes -= message.memory_bytes();
+        }
+        Some(entry)
+    }
+
+    /// Whether no entry waits for its turn. A message may still be incomplete.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether no entry waits for its turn and no part of a message was consumed.
+    pub fn is_idle(&self) -> bool {
+        self.is_empty() && !self.is_amid_message()
+    }
+
+    /// Whether a part of a message was consumed and the rest was not.
+    pub fn is_amid_message(&self) -> bool {
+        !self.decoder.is_between_messages()
+    }
+
+    /// Whether the last entry was taken and no further request is read.
+    pub fn is_finished(&self) -> bool {
+        self.is_empty() && self.has_ended
+    }
+
+    /// When the next entry arrived; `None` if there is none, or if it is no request.
+    pub fn next_arrived_at(&self) -> Option<Time> {
+        match self.entries.front()? {
+            PipelineEntry::Request { arrived_at, .. } => Some(*arrived_at),
+            PipelineEntry::Excess { .. } | PipelineEntry::Invalid(_) => None,
+        }
+    }
+
+    /// The head of an incomplete message, if the head is complete and nothing waits before the message.
+    pub fn incomplete_head(&self) -> Option<&MessageHead> {
+        if self.is_empty() { self.decoder.head() } else { None }
+    }
+
+    /// The memory that the requests and the body of the incomplete message take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.held_bytes + self.decoder.incomplete_body_bytes()
+    }
+
+    fn available_bytes(&self) -> usize {
+        READ_AHEAD_BYTES.saturating_sub(self.held_bytes)
+    }
+
+    fn push(&mut self, message: Message, arrived_at: Time) {
+        self.has_ended = !message.head.keep_alive;
+        let is_discarded = std::mem::take(&mut self.is_discarding);
+        let bytes = message.memory_bytes();
+        if is_discarded || bytes > self.available_bytes() {
+            return self.push_excess();
+        }
+        self.held_bytes += bytes;
+        self.entries.push_back(PipelineEntry::Request { message, arrived_at });
+    }
+
+    fn push_excess(&mut self) {
+        match self.entries.back_mut() {
+            Some(PipelineEntry::Excess { count }) => *count += 1,
+            _ => self.entries.push_back(PipelineEntry::Excess { count: 1 }),
+        }
+    }
+}
--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -12,15 +12,19 @@
 
 impl Downstream {
     /// Handles a complete message from a client.
-    pub(super) fn on_message(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, message: Message) {
+    pub(super) fn on_message(
+        &mut self,
+        cx: &mut TurnContext<'_>,
+        id: ConnectionId,
+        message: Message,
+        arrived_at: Time,
+    ) {
         cx.transport.mark_busy(id);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.sent_continue = false;
         client.is_new = false;
         self.evict_first.remove(id);
         client.keep_alive = message.head.keep_alive;
-        let unconsumed = client.connection.input.len();
-        let arrived_at = client.arrivals.of_last_consumed(unconsumed).unwrap_or(cx.now);
         if message.head.path_segments().next() == Some("health") {
             return self.answer_health_check(cx, id, &message.head);
         }
@@ -55,7 +59,7 @@
         headers: &[(&str, &[u8])],
     ) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let keep_alive = client.keep_alive && self.shutdown_deadline.is_none();
+        let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
         write_local_reply(&mut client.connection.output, status, headers, keep_alive);
         self.begin_writing(cx, id, keep_alive);
     }
@@ -90,11 +94,28 @@
     /// its connection. Nothing was forwarded for it.
     fn reject_expired(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let keep_alive = client.keep_alive && self.shutdown_deadline.is_none();
+        let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
         write_with_retry_after(&mut client.connection.output, 503, self.retry_after, keep_alive);
         self.begin_writing(cx, id, keep_alive);
     }
 
+    /// Rejects requests that exceeded the memory for requests sent ahead. Nothing was forwarded for them.
+    pub(super) fn reject_excess(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, count: u64) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.is_new = false;
+        client.keep_alive = !client.pipeline.is_finished();
+        let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
+        for left in (0..count).rev() {
+            let keep_alive = keep_alive || left > 0;
+            write_with_retry_after(&mut client.connection.output, 429, self.retry_after, keep_alive);
+        }
+        log::debug!("rejected {count} requests that a client had sent ahead in excess of the limit");
+        cx.requests.count_excess_requests(count);
+        cx.transport.mark_busy(id);
+        self.evict_first.remove(id);
+        self.begin_writing(cx, id, keep_alive);
+    }
+
     /// Answers a message with an error status and closes the connection after that response.
     pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, status: u16) {
         let Some(client) = self.clients.get_mut(&id) else { return };
--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -8,7 +8,6 @@
 //! Two rules are each enforced in one place: [`RequestTable::start_attempt`] admits every attempt, and
 //! [`RequestTable::finish`] accepts one final response for each request.
 
-mod arrival_times;
 mod attempt_end;
 mod balancer_driver;
 mod discovery_watch;
@@ -26,6 +25,7 @@
 mod upstream;
 
 pub use attempt_end::{AttemptEnd, RequestProgress};
+pub use downstream::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
 pub use endpoint_directory::KnownEndpoint;
 pub use final_response::FinalResponse;
 pub use load_report::parse_load_report;
--- a/crates/node/src/proxy/request_metrics.rs
+++ b/crates/node/src/proxy/request_metrics.rs
@@ -17,6 +17,8 @@
     /// The number of attempts by the name of their outcome.
     attempts: BTreeMap<&'static str, u64>,
     unreadable_load_reports: u64,
+    /// The number of requests that clients had sent ahead in excess of the limit.
+    excess_requests: u64,
 }
 
 impl RequestMetrics {
@@ -41,19 +43,25 @@
         self.unreadable_load_reports += 1;
     }
 
+    /// Counts requests that a client had sent ahead in excess of the limit.
+    pub(super) fn count_excess_requests(&mut self, count: u64) {
+        self.excess_requests += count;
+    }
+
     /// Writes the counts to the log.
     pub(super) fn log(&self) {
         log::info!(
             event = "request_metrics", fulfilled = self.fulfilled, rate_limited = self.rate_limited,
             errored = self.errored, client_disconnected = self.client_disconnected,
-            attempts = self.total_attempts(), unreadable_load_reports = self.unreadable_load_reports;
+            attempts = self.total_attempts(), unreadable_load_reports = self.unreadable_load_reports,
+            excess_requests = self.excess_requests;
             "{self}"
         );
     }
 
     /// Whether neither a request nor an attempt was counted.
     pub(super) fn is_empty(&self) -> bool {
-        self.total_requests() == 0 && self.attempts.is_empty()
+        self.total_requests() == 0 && self.attempts.is_empty() && self.excess_requests == 0
     }
 
     fn total_requests(&self) -> u64 {
@@ -85,6 +93,9 @@
         if self.unreadable_load_reports > 0 {
             write!(f, "; {} unreadable load reports", self.unreadable_load_reports)?;
         }
+        if self.excess_requests > 0 {
+            write!(f, "; {} rejected as sent ahead in excess of the limit", self.excess_requests)?;
+        }
         Ok(())
     }
 }
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Counts requests that were rejected unread, as their client had sent too many ahead.
+    pub(super) fn count_excess_requests(&mut self, count: u64) {
+        self.metrics.count_excess_requests(count);
+    }
+
     /// Returns the next final response to deliver.
     pub fn poll_response(&mut self) -> Option<UndeliveredResponse> {
         loop {
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -38,6 +38,8 @@
     /// Whether epoll has reported the end of the connection or of its input. Data that the peer sent before
     /// the end may still be unread.
     end_reported: bool,
+    /// Whether the last call of `receive` found that the system has no more data for now, or the end.
+    is_drained: bool,
     /// The events for which the connection is registered with epoll.
     interest: EventFlags,
 }
@@ -108,6 +110,7 @@
             state,
             closed: None,
             end_reported: false,
+            is_drained: false,
             interest,
         })
     }
@@ -134,6 +137,18 @@
         self.closed
     }
 
+    /// Whether epoll has reported the end of the connection or of its input. Data that the peer sent before
+    /// the end may still be unread.
+    pub fn is_end_reported(&self) -> bool {
+        self.end_reported
+    }
+
+    /// Whether the last call of [`Connection::receive`] found that the operating system holds no more data,
+    /// or read the end of the input.
+    pub fn is_drained(&self) -> bool {
+        self.is_drained || self.closed.is_some()
+    }
+
     /// Handles an event from epoll: receives available data, and records the end of the connection or its
     /// input.
     pub fn on_event(&mut self, event: &ReadinessEvent) {
@@ -145,6 +160,7 @@
 
     /// Receives the data that is available, up to the limit of the input buffer.
     pub fn receive(&mut self) {
+        self.is_drained = false;
         let mut chunk = [0; MAX_INPUT_BYTES];
         while self.is_connected() && self.closed.is_none() && self.input.len() < MAX_INPUT_BYTES {
             let capacity = MAX_INPUT_BYTES - self.input.len();
@@ -156,7 +172,10 @@
                         return;
                     }
                 }
-                Err(Errno::AGAIN) => return,
+                Err(Errno::AGAIN) => {
+                    self.is_drained = true;
+                    return;
+                }
                 Err(Errno::INTR) => {}
                 Err(_) => self.closed = Some(CloseReason::SocketError),
             }
--- a/crates/node/tests/scenarios/harness/clients.rs
+++ b/crates/node/tests/scenarios/harness/clients.rs
@@ -18,6 +18,10 @@
                 let request = format_request(class, key, options);
                 self.client(client).write(&request);
             }
+            ["requests", client, class, count, ref options @ ..] => {
+                let requests = format_requests(class, count, options);
+                self.client(client).write(&requests);
+            }
             ["send", client, ..] => {
                 let text = unescape(trailing(line));
                 self.client(client).write(&text);
@@ -108,6 +112,18 @@
     }
 }
 
+/// Requests that are sent at once, with the number of each after its identifier.
+fn format_requests(class: &str, count: &str, options: &[&str]) -> Vec<u8> {
+    let prefix = option(options, "id").expect("an id");
+    let put = option(options, "bytes").map(|bytes| format!("put=\\*{bytes}x"));
+    let format_one = |number: u32| {
+        let id = format!("id={prefix}{number}");
+        let options: Vec<&str> = put.as_deref().into_iter().chain([&id[..]]).collect();
+        format_request(class, "k", &options)
+    };
+    (0..count.parse().expect("a count")).flat_map(format_one).collect()
+}
+
 fn format_request(class: &str, key: &str, options: &[&str]) -> Vec<u8> {
     let id = option(options, "id").expect("an id");
     let timeout = option(options, "timeout").unwrap_or("1200");
--- a/crates/node/tests/scenarios/harness/node_process.rs
+++ b/crates/node/tests/scenarios/harness/node_process.rs
@@ -31,6 +31,7 @@
                 prlimit(Some(self.pid()), Resource::Nofile, limit).expect("a process");
             }
             ["low-cpu", ms] => self.expect_low_cpu(line, ms),
+            ["peak-memory", max_mb] => self.expect_peak_memory(line, max_mb),
             ["invalid", path, value, "says", key] => self.expect_invalid_config(line, path, value, key),
             ["stop"] => self.signal(Signal::TERM),
             ["freeze"] => {
@@ -67,6 +68,15 @@
         assert!(used < ms / 3, "{line}: the node used {used} ms of CPU time");
     }
 
+    fn expect_peak_memory(&self, line: &str, max_mb: &str) {
+        let id = self.process.as_ref().expect("a node").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a process");
+        let peak = status.lines().find_map(|status| status.strip_prefix("VmHWM:")).expect("a peak");
+        let kib: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a size");
+        let max_kib = max_mb.parse::<u64>().expect("a size") * 1024;
+        assert!(kib <= max_kib, "{line}: the node used {kib} KiB");
+    }
+
     /// Checks that a configuration with this value is refused, and that the error message names the key.
     fn expect_invalid_config(&self, line: &str, path: &str, value: &str, key: &str) {
         let mut config = self.config.clone();
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -30,6 +30,7 @@
 //!
 //! - `request CLIENT CLASS KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`: writes a request,
 //!   or any text.
+//! - `requests CLIENT CLASS COUNT id=PREFIX [bytes=LENGTH]`: writes requests at once, with bodies of a length.
 //! - `disconnect`, `reset-client`, `half-close CLIENT`: closes, resets, or closes for writing.
 //! - `stop-reading CLIENT`, `resume-reading CLIENT`: connects with a small buffer and reads nothing until
 //!   resumed.
@@ -54,6 +55,7 @@
 //! The program and time.
 //!
 //! - `start`, `stop`, `exits`, `freeze`, `resume`, `reload [K=JSON ...]`, `limit-descriptors N`.
+//! - `peak-memory MB`: the node has used at most so much memory since it was started.
 //! - `low-cpu MS`: the node uses less than a third of a core. `quiet MS`: no attempt arrives and no client
 //!   receives anything or is disconnected. `wait MS`: lets time pass.
 //!
@@ -103,6 +105,9 @@
 #[test_case(include_str!("overload.txt"); "overload")]
 #[test_case(include_str!("parsers.txt"); "parsers")]
 #[test_case(include_str!("partial-response-while-idle.txt"); "partial_response_while_idle")]
+#[test_case(include_str!("pipelined-excess.txt"); "pipelined_excess")]
+#[test_case(include_str!("pipelined-then-disconnect.txt"); "pipelined_then_disconnect")]
+#[test_case(include_str!("pipelined-then-disconnect-while-frozen.txt"); "pipelined_then_disconnect_while_frozen")]
 #[test_case(include_str!("pipelined-times.txt"); "pipelined_times")]
 #[test_case(include_str!("pushed-list.txt"); "pushed_list")]
 #[test_case(include_str!("refused.txt"); "refused")]
