Serve requests that stand behind others on their connection during a shutdown

Cause: each response that was written after the stop signal announced the end of its connection, and what stood behind it in the input was discarded.

Change: before a response is written during a shutdown, all that has arrived is read, and the response announces the end only if no request is left (Client::keeps_alive, by which all responses go that keep a connection).

Scenario shutdown-pipelined fails on (the second request never arrives at the cache) and passes now; shutdown-pipelined-hang has a server hang through the shutdown (new, not run before the change).

Left: a 503 for lack of capacity, a 400 or a 409 still ends a connection with requests unanswered behind it; thousands of such connections were not played.

--- a/crates/node/src/proxy/downstream/client.rs
+++ b/crates/node/src/proxy/downstream/client.rs
@@ -123,9 +123,11 @@
         is_amid_message.then_some(MAX_INCOMPLETE_DELAY)
     }
 
-    /// Whether the connection is kept open after the response to the current request.
+    /// Whether the connection is kept open after the response to the current request. While the node shuts
+    /// down, the response to the last request that was received ends the connection.
     pub(super) fn keeps_alive(&self, is_shutting_down: bool) -> bool {
-        self.keep_alive && !is_shutting_down
+        let is_last = is_shutting_down && !self.pipeline.has_request();
+        self.keep_alive && !is_last
     }
 
     /// Writes `100 Continue` if the client waits for that response, and returns whether it was written.
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -239,6 +239,10 @@
             ClientState::AwaitingResponse(request) if request == undelivered.request => {}
             _ => return,
         }
+        if self.shutdown_deadline.is_some() {
+            // Requests that have arrived by now must not be lost behind a response that ends the connection.
+            client.receive(cx.now, MAX_READS_PER_TURN);
+        }
         let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
         let output = &mut client.connection.output;
         match &undelivered.response {
--- a/crates/node/src/proxy/downstream/pipeline.rs
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -105,6 +105,11 @@
         self.entries.is_empty()
     }
 
+    /// Whether a request waits for its turn, or for its rejection.
+    pub fn has_request(&self) -> bool {
+        self.entries.front().is_some_and(|entry| !matches!(entry, PipelineEntry::Invalid(_)))
+    }
+
     /// Whether no entry waits for its turn and no part of a message was consumed.
     pub fn is_idle(&self) -> bool {
         self.is_empty() && !self.is_amid_message()
--- a/crates/node/tests/scenarios/harness/clients.rs
+++ b/crates/node/tests/scenarios/harness/clients.rs
@@ -118,7 +118,8 @@
     let put = option(options, "bytes").map(|bytes| format!("put=\\*{bytes}x"));
     let format_one = |number: u32| {
         let id = format!("id={prefix}{number}");
-        let options: Vec<&str> = put.as_deref().into_iter().chain([&id[..]]).collect();
+        let own_options = put.as_deref().into_iter().chain([&id[..]]);
+        let options: Vec<&str> = own_options.chain(options.iter().copied()).collect();
         format_request(class, "k", &options)
     };
     (0..count.parse().expect("a count")).flat_map(format_one).collect()
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -30,7 +30,8 @@
 //!
 //! - `request CLIENT CLASS KEY id=ID [timeout=MS] [put=BODY] [close]`, `send CLIENT TEXT`: writes a request,
 //!   or any text.
-//! - `requests CLIENT CLASS COUNT id=PREFIX [bytes=LENGTH]`: writes requests at once, with bodies of a length.
+//! - `requests CLIENT CLASS COUNT id=PREFIX [timeout=MS] [bytes=LENGTH]`: writes requests at once, with
+//!   bodies of a length.
 //! - `disconnect`, `reset-client`, `half-close CLIENT`: closes, resets, or closes for writing.
 //! - `stop-reading CLIENT`, `resume-reading CLIENT`: connects with a small buffer and reads nothing until
 //!   resumed.
@@ -119,6 +120,8 @@
 #[test_case(include_str!("shutdown-idle-later.txt"); "shutdown_idle_later")]
 #[test_case(include_str!("shutdown-idle.txt"); "shutdown_idle")]
 #[test_case(include_str!("shutdown-late-request.txt"); "shutdown_late_request")]
+#[test_case(include_str!("shutdown-pipelined-hang.txt"); "shutdown_pipelined_hang")]
+#[test_case(include_str!("shutdown-pipelined.txt"); "shutdown_pipelined")]
 #[test_case(include_str!("shutdown-suspended.txt"); "shutdown_suspended")]
 #[test_case(include_str!("shutdown-unread-response.txt"); "shutdown_unread_response")]
 #[test_case(include_str!("shutdown.txt"); "shutdown")]
