Don't answer 408 early to a message behind a request that waited for it

Cause: a request waits 0.1 s at most for the rest of a message behind it, and that wait shares the timer of the incomplete message. Where the request was answered at once (404, a health check), the timer's end was then taken for the message's own, which is 2.5 s. By reading, a new connection with a waiting request could also be closed for room; it is kept now (no test forces it).

--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -182,9 +182,14 @@
     }
 
     fn on_read_timeout(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
+        let has_next = self.clients.get(&id).is_some_and(|client| !client.pipeline.is_empty());
         // Data that the operating system has buffered arrived in time: one turn reads only a part of a long
         // message.
         self.receive_and_advance(cx, id);
+        if has_next {
+            // A complete request has waited for the message behind it, whose own time is not up.
+            return;
+        }
         let Some(client) = self.clients.get(&id) else { return };
         if client.is_idle() {
             self.close(cx, id, CloseReason::NoLongerNeeded);
@@ -200,7 +205,7 @@
     pub(super) fn evict(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
         let has_read_all = self.receive_and_advance(cx, id);
         let Some(client) = self.clients.get(&id) else { return };
-        let is_unused = has_read_all && (client.is_idle() || client.is_new);
+        let is_unused = has_read_all && client.pipeline.is_empty() && (client.is_idle() || client.is_new);
         if is_unused || client.is_lingering() {
             self.close(cx, id, CloseReason::NoLongerNeeded);
         }
