Begin no attempt for a client whose input could not be read for 0.1 s

Callers saw: where clients send more at once than the node reads in the time, attempts began for them after their close.

Cause: a request that waited for unread input was forwarded after 0.25 s whether or not all was read by then, and a further attempt of the request in progress did not wait at all. The FIN stands behind what is unread.

Change: Upstream::start_request, which writes every attempt, ends a request whose client's input was not read whole for 0.1 s, the bound of the rule. A queued request is rejected with 429 instead of being forwarded unread. After the last read of a turn the socket is looked at once, so that a client that sent exactly what a turn reads doesn't count as unread.

Node tests pass.

--- a/crates/node/src/proxy/downstream/client.rs
+++ b/crates/node/src/proxy/downstream/client.rs
@@ -43,6 +43,8 @@
     pub(super) keep_alive: bool,
     /// Whether no complete message has arrived yet.
     pub(super) is_new: bool,
+    /// Since when the input has not been read whole; `None` if it has.
+    unread_since: Option<Time>,
 }
 
 impl Client {
@@ -56,6 +58,7 @@
             sent_continue: false,
             keep_alive: true,
             is_new: true,
+            unread_since: None,
         }
     }
 
@@ -78,10 +81,23 @@
             self.connection.receive();
             self.decode(now);
             if self.connection.is_drained() {
-                return true;
+                break;
             }
         }
-        false
+        if !self.connection.is_drained() {
+            self.connection.peek();
+        }
+        let has_received_all = self.connection.is_drained();
+        self.unread_since = if has_received_all { None } else { self.unread_since.or(Some(now)) };
+        has_received_all
+    }
+
+    /// The request in progress, with the time since when the input has not been read whole.
+    pub(super) fn request_in_progress(&self) -> Option<(RequestId, Option<Time>)> {
+        match self.state {
+            ClientState::AwaitingResponse(request) => Some((request, self.unread_since)),
+            _ => None,
+        }
     }
 
     /// Receives and discards what the operating system has buffered, with at most `max_reads` reads.
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -165,6 +165,9 @@
             self.close(cx, id, CloseReason::ClosedByPeer);
             return true;
         }
+        if let Some((request, unread_since)) = client.request_in_progress() {
+            cx.requests.set_client_unread_since(request, unread_since);
+        }
         self.advance(cx, id);
         has_received_all
     }
@@ -294,6 +297,11 @@
                 ClientState::Lingering | ClientState::AwaitingResponse(_) => break,
                 ClientState::Reading if client.reads_on_until(cx.now).is_some() => break,
                 ClientState::Reading => match client.pipeline.pop(MAX_EXCESS_REPLIES) {
+                    // The client has sent faster than the node reads for too long.
+                    Some(PipelineEntry::Request { .. }) if !client.connection.is_drained() => {
+                        self.reject_excess(cx, id, 1);
+                        excess_writes += 1;
+                    }
                     Some(PipelineEntry::Request { message, arrived_at }) => {
                         self.on_message(cx, id, message, arrived_at);
                     }
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -7,8 +7,8 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use granitelb_balancer::ids::{AttemptNumber, EndpointId, RequestId};
-use granitelb_balancer::time::Span;
-use granitelb_balancer::{AttemptOutcome, AttemptResult, LoadReport, Request};
+use granitelb_balancer::time::{Span, Time};
+use granitelb_balancer::{AttemptOutcome, AttemptResult, LoadReport, LocalReply, Request};
 
 use super::attempt_end::AttemptEnd;
 use super::final_response::FinalResponse;
@@ -17,6 +17,10 @@
 use crate::http::Message;
 use crate::transport::ConnectionId;
 
+/// A client whose input has not been read whole for this time may have disconnected: the end of its connection
+/// may stand behind the rest. An attempt may begin at most this long after its client has disconnected.
+const MAX_UNREAD_TIME: Span = Span::from_millis(100);
+
 /// Whether a request has its final response.
 enum ResponseState {
     /// The request waits for its final response.
@@ -31,6 +35,8 @@
 pub struct ActiveRequest {
     /// The client's connection.
     client: ConnectionId,
+    /// Since when the client's input has not been read whole; `None` if it has.
+    client_unread_since: Option<Time>,
     request: Request,
     /// The message that is forwarded to endpoints.
     message: Message,
@@ -67,6 +73,10 @@
         matches!(self.response, ResponseState::Pending)
     }
 
+    fn may_be_disconnected(&self, now: Time) -> bool {
+        self.client_unread_since.is_some_and(|since| now - since >= MAX_UNREAD_TIME)
+    }
+
     fn is_finished(&self) -> bool {
         matches!(self.response, ResponseState::Collected) && self.attempts_in_flight == 0
     }
@@ -130,6 +140,7 @@
         let id = RequestId(self.last_id);
         let active = ActiveRequest {
             client,
+            client_unread_since: None,
             request,
             message,
             client_request_id,
@@ -150,6 +161,13 @@
         }
     }
 
+    /// Records since when the input of a request's client has not been read whole; `None` if it has.
+    pub fn set_client_unread_since(&mut self, id: RequestId, since: Option<Time>) {
+        if let Some(active) = self.requests.get_mut(&id) {
+            active.client_unread_since = since;
+        }
+    }
+
     /// Counts requests that were rejected unread, as their client had sent too many ahead.
     pub(super) fn count_excess_requests(&mut self, count: u64) {
         self.metrics.count_excess_requests(count);
@@ -193,6 +211,13 @@
         self.requests.get(&id).is_some_and(ActiveRequest::is_pending)
     }
 
+    /// Ends a request with an error if its client may have disconnected, so that it gets no further attempt.
+    pub fn finish_if_unread(&mut self, id: RequestId, now: Time) {
+        if self.requests.get(&id).is_some_and(|active| active.may_be_disconnected(now)) {
+            self.finish(id, FinalResponse::Local(LocalReply::Errored));
+        }
+    }
+
     /// Records the end of an attempt. If the attempt fulfilled the request, its response becomes the final
     /// one unless there already is a final response.
     pub fn on_attempt_end(
--- a/crates/node/src/proxy/upstream/exchange.rs
+++ b/crates/node/src/proxy/upstream/exchange.rs
@@ -73,13 +73,14 @@
     }
 
     /// Writes the request of an attempt. The first byte of every attempt passes this check: it is sent only
-    /// while the request is pending, before the start deadline, and to the endpoint's current address.
+    /// while the request is pending, before the start deadline, and to the endpoint's current address. A request
+    /// whose client may have disconnected ends here.
     ///
     /// The request states the time that is left now, since connecting may have taken long. Nothing is written
     /// if data or the end of the connection has arrived: that is handled first.
     fn start_request(
         &mut self,
-        requests: &RequestTable,
+        requests: &mut RequestTable,
         now: Time,
         id: ConnectionId,
     ) -> Result<(), CloseReason> {
@@ -91,6 +92,7 @@
         let Some(attempt) = &mut upstream.attempt else { return Ok(()) };
         let pool = self.pools.get(&upstream.endpoint);
         let is_current_address = pool.is_some_and(|pool| pool.address == upstream.address);
+        requests.finish_if_unread(attempt.id.request, now);
         let is_pending = requests.is_pending(attempt.id.request);
         let request = requests.get(attempt.id.request).filter(|_| is_current_address && is_pending);
         let request = request.ok_or(CloseReason::NoLongerNeeded)?;
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -182,6 +182,20 @@
         }
     }
 
+    /// Looks whether the operating system holds more data, without receiving any. Afterwards,
+    /// [`Connection::is_drained`] is false only if epoll reports the connection again.
+    pub fn peek(&mut self) {
+        if !self.is_connected() || self.closed.is_some() {
+            return;
+        }
+        match net::recv(&self.fd, &mut [0; 1], RecvFlags::PEEK) {
+            Ok((0, _)) => self.closed = Some(CloseReason::ClosedByPeer),
+            Ok(_) | Err(Errno::INTR) => self.is_drained = false,
+            Err(Errno::AGAIN) => self.is_drained = true,
+            Err(_) => self.closed = Some(CloseReason::SocketError),
+        }
+    }
+
     /// Sends buffered output until the buffer is empty or the socket accepts no more.
     ///
     /// # Errors
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -70,6 +70,7 @@
 //!   byte, and split at each position.
 
 mod connection;
+mod disconnects;
 mod harness;
 mod in_process;
 mod notation;
--- a/crates/node/tests/upstream/connecting.rs
+++ b/crates/node/tests/upstream/connecting.rs
@@ -1,7 +1,9 @@
 //! Attempts that wait for their connection, and connections whose attempt has ended.
 
-use granitelb_balancer::AttemptOutcome;
 use granitelb_balancer::time::Span;
+use granitelb_balancer::{AttemptOutcome, LocalReply};
+use granitelb_node::proxy::FinalResponse;
+use test_case::test_case;
 
 use crate::fixture::{Fixture, is_silent, read_head, response, write};
 
@@ -157,3 +159,26 @@
     assert_eq!(fixture.wait_for_outcome(refused), AttemptOutcome::NotSent);
     assert_eq!(fixture.transport.available_connections(), 2);
 }
+
+/// Guards against an attempt that begins although its client may have disconnected: the client has sent faster
+/// than the node reads for 0.1 s, and the end of its connection may stand behind what is unread.
+#[test_case(99, true)]
+#[test_case(100, false)]
+fn attempt_begins_only_if_input_of_client_was_read_recently(unread_ms: u64, begins: bool) {
+    let mut fixture = Fixture::new();
+    let request = fixture.send_read();
+    fixture.requests.set_client_unread_since(request, Some(fixture.now()));
+    fixture.advance_ms(unread_ms);
+    let mut stream = fixture.accept();
+    fixture.run_turn();
+    assert_eq!(fixture.requests.is_pending(request), begins);
+    if begins {
+        read_head(&mut stream).expect("a request");
+        return;
+    }
+    assert!(is_silent(&mut stream));
+    let response = fixture.requests.poll_response().map(|undelivered| undelivered.response);
+    assert!(matches!(response, Some(FinalResponse::Local(LocalReply::Errored))));
+    // The end of the attempt is reported, so that the balancer counts it no longer.
+    assert_eq!(fixture.wait_for_outcome(request), AttemptOutcome::NotSent);
+}
--- a/crates/node/tests/upstream/fixture.rs
+++ b/crates/node/tests/upstream/fixture.rs
@@ -234,6 +234,11 @@
         }
     }
 
+    /// The time of the clock.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
     /// Advances the clock.
     pub fn advance_ms(&mut self, ms: u64) {
         self.now = self.now + Span::from_millis(ms);
