Planners in tests get ports that no ephemeral socket can take

Cause: the tests of planners' processes chose a port by binding an ephemeral one and closing it.

What the tests check is unchanged.

--- a/crates/control-plane/tests/stale_planners.rs
+++ b/crates/control-plane/tests/stale_planners.rs
@@ -3,14 +3,13 @@
 //! all leases.
 
 use std::fs;
-use std::net::UdpSocket;
 use std::thread;
 use std::time::Duration;
 
 use rustix::process::Signal;
 
 use crate::support::lease_holders::LeaseHolders;
-use crate::support::{Fleet, OTHER_SECRET, Planner, SECRET};
+use crate::support::{Fleet, OTHER_SECRET, Planner, SECRET, planner_address};
 
 /// The part of 100 fetches a second that is leased, in thousandths of a fetch a second: forwarders use a
 /// quarter without a lease.
@@ -44,7 +43,7 @@
     suspended.signal(Signal::STOP);
 
     // Another process takes over the number, at another address.
-    let new_address = UdpSocket::bind("127.0.0.1:0").expect("a free port").local_addr().expect("an address");
+    let new_address = planner_address();
     fleet.addresses[0] = new_address;
     fleet.write_fleet_config(&format!("secret = \"{SECRET}\""));
     let text = "number = 1\noperator = \"operator.toml\"\nstate = \"state-1-new\"\n";
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -7,10 +7,11 @@
 pub mod lease_holders;
 
 use std::fs;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
 const MAX_DATAGRAM_BYTES: usize = 2000;
+/// The lowest port of planners, and the number of such ports. All lie below the ephemeral ports: the system could
+/// give one of those to another socket before the planner binds it.
+const FIRST_PLANNER_PORT: u16 = 12_000;
+const PLANNER_PORTS: u32 = 4000;
+/// The network of the planners' addresses.
+const PLANNER_NETWORK: [u8; 3] = [127, 88, 1];
 
 /// The path of the program, which is built when this is first called.
 fn program() -> &'static Path {
@@ -48,7 +55,17 @@
     Secrets::single(Secret::new(&hex::decode(hex).expect("hexadecimal")).expect("long enough"))
 }
 
-/// A folder with the configuration files of a fleet, whose planners listen on free ports.
+/// An address for a planner, which no other planner and no ephemeral socket has. Test processes at the same time
+/// have different ports.
+pub fn planner_address() -> SocketAddr {
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+    let [a, b, c] = PLANNER_NETWORK;
+    let ip = Ipv4Addr::new(a, b, c, NEXT_HOST.fetch_add(1, Ordering::Relaxed));
+    let port = FIRST_PLANNER_PORT + (std::process::id() % PLANNER_PORTS) as u16;
+    SocketAddr::new(IpAddr::V4(ip), port)
+}
+
+/// A folder with the configuration files of a fleet, whose planners have addresses of their own.
 pub struct Fleet {
     pub folder: tempfile::TempDir,
     pub addresses: Vec<SocketAddr>,
@@ -56,10 +73,7 @@
 
 impl Fleet {
     pub fn new(planners: usize) -> Fleet {
-        let bind = |_| UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        // All are bound at once, so that their ports differ.
-        let sockets: Vec<_> = (0..planners).map(bind).collect();
-        let addresses = sockets.iter().map(|s| s.local_addr().expect("an address")).collect();
+        let addresses = (0..planners).map(|_| planner_address()).collect();
         let fleet = Fleet { folder: tempfile::tempdir().expect("a folder"), addresses };
         fleet.write_fleet_config(&format!("secret = \"{SECRET}\""));
         for number in 1..=planners {
--- a/crates/node/tests/control_plane/fleet.rs
+++ b/crates/node/tests/control_plane/fleet.rs
@@ -2,7 +2,7 @@
 //! requests, its cache server misses every key, and origin fetches are leased.
 
 use std::fs;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +15,10 @@
 pub const SECRET: &str = "000102030405060708090a0b0c0d0e0f";
 /// The longest time to wait until all nodes use leases.
 const LEASE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The lowest port of planners, the number of such ports, and the third byte of the planners' addresses.
+const FIRST_PLANNER_PORT: u16 = 12_000;
+const PLANNER_PORTS: u32 = 4000;
+const PLANNERS_SUBNET: u8 = 250;
 /// The number of clients of each node, and the pause of each client between two requests.
 const CLIENTS_PER_NODE: usize = 3;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
@@ -102,7 +106,7 @@
         (planners, nodes): (usize, usize),
         origin_per_s: f64,
     ) -> Fleet {
-        let message_addresses = free_addresses(planners);
+        let message_addresses = planner_addresses(net, planners);
         let mut fleet_config = format!("secret = \"{SECRET}\"\nforwarders = {nodes}\n");
         for (index, address) in message_addresses.iter().enumerate() {
             fleet_config += &format!("[[planner]]\nnumber = {}\nletters = \"{address}\"\n", index + 1);
@@ -205,9 +209,10 @@
     }
 }
 
-/// Loopback addresses with free ports. All sockets stay open until each port is chosen, so that no port is
-/// chosen twice.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let sockets: Vec<_> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a free port")).collect();
-    sockets.iter().map(|socket| socket.local_addr().expect("an address")).collect()
+/// Addresses for the planners of a fleet. Their port lies below the ephemeral ports: the system could give one of
+/// those to another socket before the planner binds it.
+fn planner_addresses(net: u8, count: usize) -> Vec<SocketAddr> {
+    let port = FIRST_PLANNER_PORT + (std::process::id() % PLANNER_PORTS) as u16;
+    let host = |number: usize| Ipv4Addr::new(127, net, PLANNERS_SUBNET, number as u8 + 1);
+    (0..count).map(|number| SocketAddr::new(host(number).into(), port)).collect()
 }
