--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -258,6 +258,10 @@
             let mut turn = TurnContext { transport: &mut self.transport, requests: &mut self.requests, now };
             self.downstream.close_idle(&mut turn);
         }
+        if shutdown.is_response_time_over(now, self.longest_client_timeout) {
+            self.shutdown = self.shutdown.map(Shutdown::with_pending_failed);
+            self.requests.fail_pending();
+        }
     }
 
     /// Whether a shutdown is complete, or its time is over.
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -278,7 +278,7 @@
         }
     }
 
-    /// Returns the next request whose client has disconnected.
+    /// Returns the next request whose client has disconnected, or that was ended otherwise without the balancer.
     pub fn poll_disconnected(&mut self) -> Option<RequestId> {
         self.disconnected.pop_front()
     }
@@ -315,6 +315,18 @@
         true
     }
 
+    /// Ends all requests that wait for their final response with an error: they may have been executed.
+    pub fn fail_pending(&mut self) {
+        let pending = self.requests.iter().filter(|(_, active)| active.is_pending());
+        let mut pending: Vec<_> = pending.map(|(id, _)| *id).collect();
+        pending.sort();
+        for id in pending {
+            self.finish(id, FinalResponse::Local(LocalReply::Errored));
+            // The balancer gives up the request as it does for one whose client has disconnected.
+            self.disconnected.push_back(id);
+        }
+    }
+
     /// The number of requests that wait for their final response.
     pub fn pending_count(&self) -> usize {
         self.pending_ids.len()
--- a/crates/node/tests/scenarios/harness/mod.rs
+++ b/crates/node/tests/scenarios/harness/mod.rs
@@ -30,6 +30,8 @@
     address: String,
     config: Value,
     process: Option<Child>,
+    /// When the stop signal was sent.
+    stopped_at: Option<Instant>,
     node: SocketAddr,
     discovery: TcpListener,
     /// Connections that fill the accept queue of discovery while discovery is blocked.
@@ -78,6 +80,7 @@
             address,
             config,
             process: None,
+            stopped_at: None,
             node,
             discovery,
             discovery_blocked_by: None,
--- a/crates/node/tests/scenarios/harness/node_process.rs
+++ b/crates/node/tests/scenarios/harness/node_process.rs
@@ -3,13 +3,14 @@
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::Value;
 
 use super::Harness;
 use crate::connection::TestConnection;
+use crate::notation::option;
 
 /// The length, in milliseconds, of a tick, in which the system counts a process's CPU time.
 const TICK_MS: u64 = 10;
@@ -33,17 +34,23 @@
             ["low-cpu", ms] => self.expect_low_cpu(line, ms),
             ["peak-memory", max_mb] => self.expect_peak_memory(line, max_mb),
             ["invalid", path, value, "says", key] => self.expect_invalid_config(line, path, value, key),
-            ["stop"] => self.signal(Signal::TERM),
+            ["stop"] => {
+                self.signal(Signal::TERM);
+                self.stopped_at = Some(Instant::now());
+            }
             ["freeze"] => {
                 self.signal(Signal::STOP);
                 // The process may stop a moment after the signal was sent.
                 self.wait_until(line, |harness| (harness.process_stat().next()? == "T").then_some(()));
             }
             ["resume"] => self.signal(Signal::CONT),
-            ["exits"] => {
+            ["exits", ref options @ ..] => {
                 let status =
                     self.wait_until(line, |harness| harness.process.as_mut()?.try_wait().expect("a process"));
                 assert!(status.success(), "{line}: {status}");
+                let took = self.stopped_at.expect("a stop signal").elapsed();
+                let within = option(options, "within").map(|ms| ms.parse().expect("a time"));
+                assert!(within.is_none_or(|ms| took <= Duration::from_millis(ms)), "{line}: {took:?}");
             }
             _ => return false,
         }
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -55,7 +55,7 @@
 //!
 //! The program and time.
 //!
-//! - `start`, `stop`, `exits`, `freeze`, `resume`, `reload [K=JSON ...]`, `limit-descriptors N`.
+//! - `start`, `stop`, `exits [within=MS]` (after the stop signal), `freeze`, `resume`, `reload [K=JSON ...]`, `limit-descriptors N`.
 //! - `peak-memory MB`: the node has used at most so much memory since it was started.
 //! - `low-cpu MS`: the node uses less than a third of a core. `quiet MS`: no attempt arrives and no client
 //!   receives anything or is disconnected. `wait MS`: lets time pass.
@@ -122,6 +122,7 @@
 #[test_case(include_str!("shutdown-idle-later.txt"); "shutdown_idle_later")]
 #[test_case(include_str!("shutdown-idle.txt"); "shutdown_idle")]
 #[test_case(include_str!("shutdown-late-request.txt"); "shutdown_late_request")]
+#[test_case(include_str!("shutdown-long-timeout.txt"); "shutdown_long_timeout")]
 #[test_case(include_str!("shutdown-pipelined-hang.txt"); "shutdown_pipelined_hang")]
 #[test_case(include_str!("shutdown-pipelined.txt"); "shutdown_pipelined")]
 #[test_case(include_str!("shutdown-suspended.txt"); "shutdown_suspended")]
