Answer requests that stand behind a rejected one on their connection

Cause: Downstream::reject always announced the close.

Change: the response ends the connection only if no request stands behind it; each of those gets its own response. Where nothing stands behind, and after input that can't be parsed, the connection is ended as before.

--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -116,17 +116,19 @@
         self.begin_writing(cx, id, keep_alive);
     }
 
-    /// Answers a message with an error status and closes the connection after that response.
+    /// Answers a message with an error status. The response ends the connection unless complete requests stand
+    /// behind the message: each of those is answered.
     pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, status: u16) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        log::debug!("rejected a client's message with status {status}; closing its connection");
+        log::debug!("rejected a client's message with status {status}");
         // Only a lack of capacity passes with time: a retry after any other error would fail again.
         let retry_after = if status == 503 { self.retry_after } else { Span::ZERO };
-        write_with_retry_after(&mut client.connection.output, status, retry_after, false);
+        let keep_alive = client.pipeline.has_request();
+        write_with_retry_after(&mut client.connection.output, status, retry_after, keep_alive);
         client.is_new = false;
         self.evict_first.remove(id);
         cx.transport.mark_busy(id);
-        self.begin_writing(cx, id, false);
+        self.begin_writing(cx, id, keep_alive);
     }
 }
 
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -107,6 +107,7 @@
 #[test_case(include_str!("overload.txt"); "overload")]
 #[test_case(include_str!("parsers.txt"); "parsers")]
 #[test_case(include_str!("partial-response-while-idle.txt"); "partial_response_while_idle")]
+#[test_case(include_str!("pipelined-behind-rejection.txt"); "pipelined_behind_rejection")]
 #[test_case(include_str!("pipelined-excess.txt"); "pipelined_excess")]
 #[test_case(include_str!("pipelined-incomplete.txt"); "pipelined_incomplete")]
 #[test_case(include_str!("pipelined-then-disconnect.txt"); "pipelined_then_disconnect")]
