--- a/crates/node/tests/control_plane/fleet.rs
+++ b/crates/node/tests/control_plane/fleet.rs
@@ -2,7 +2,7 @@
 //! requests, its cache server misses every key, and origin fetches are leased.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
