Tell duplicate responses by time alone: connections rest after each response

Cause: duplicates were told by likeness, and not all (misses and refusals are equal by nature; 200s only after four in a row had differed), while a connection that might owe one was used again at once. Evidence: the order on one connection for a payment and a foreign answer, in the postmortem.

Change: a connection carries nothing for 0.1 s after a response, and for 0.25 s nothing that must not run twice (UpstreamConnection::can_carry, by Upstream::take_idle). What arrives meanwhile ends it. The rest counts from the end of the turn, since the node may be held up in between. Among connections that may carry a request, the one idle for longest does, so that they take turns and are not closed for being idle. duplicate_response.rs, the doubt of an endpoint and the wait after a supposed duplicate are gone.

Tests: those of the former guess are replaced by stricter ones, since what they expected is no longer so: a connection used again after 1 to 30 ms, a read that takes a copied miss, one attempt lost to equal responses. Orders are forced for 200, miss and refusal, for reads and what must not run twice, before the next request, in part, with the original, unread, and late; a property test draws them. Four scenarios wait 0.15 s where they expect a connection to be used again.

--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -12,7 +12,6 @@
 mod balancer_driver;
 mod discovery_watch;
 mod downstream;
-mod duplicate_response;
 mod endpoint_directory;
 mod final_response;
 mod load_report;
--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -122,6 +122,7 @@
         loop {
             let (driver, mut context) = self.split(now);
             driver.run_until_idle(&mut context);
+            self.upstream.end_turn(self.transport.now());
             if self.is_finished(now) {
                 self.driver.close();
                 self.log_metrics();
--- a/crates/node/src/proxy/upstream/connecting.rs
+++ b/crates/node/src/proxy/upstream/connecting.rs
@@ -54,8 +54,7 @@
         if !upstream.connection.is_connected() {
             return Ok(());
         }
-        let connect_time = upstream.time_since_progress(cx.now);
-        upstream.last_progress_at = cx.now;
+        let connect_time = upstream.age(cx.now);
         // Receives data that the endpoint sent before the request is written: it cannot be the response.
         upstream.connection.receive();
         if let Some(pool) = self.pools.get_mut(&upstream.endpoint) {
--- a/crates/node/src/proxy/upstream/connection.rs
+++ b/crates/node/src/proxy/upstream/connection.rs
@@ -1,4 +1,12 @@
 //! A connection to an endpoint, and the attempt that it carries.
+//!
+//! A response does not say which request it answers: on HTTP/1.1 only its place and time tell. An endpoint may
+//! send a response a second time, some milliseconds late. On a connection that carries the next request by
+//! then, it would be taken for the response to that one, whatever its content.
+//!
+//! Invariant: a request is written only to a connection that has delivered no response yet, or nothing at all
+//! since its last response for the time in which a duplicate of that response arrives. A connection on which
+//! something arrives in that time, or at any time without a request in progress, carries no request again.
 
 use std::net::SocketAddr;
 
@@ -7,9 +15,14 @@
 
 use crate::http::{Message, MessageDecoder, MessageKind, ParseError};
 use crate::proxy::attempt_end::RequestProgress;
-use crate::proxy::duplicate_response::RecentResponses;
 use crate::transport::{CloseReason, Connection};
 
+/// A duplicate of a response arrives within this time after the original.
+const DUPLICATE_WINDOW: Span = Span::from_millis(100);
+/// The same for connections that are to carry a request which must not be executed twice. A duplicate that
+/// says that nothing was executed would have such a request sent again although the endpoint executes it.
+const DUPLICATE_WINDOW_NON_IDEMPOTENT: Span = Span::from_millis(250);
+
 /// Identifies an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct AttemptId {
@@ -49,10 +62,10 @@
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
     pub(super) attempt: Option<AssignedAttempt>,
-    pub(super) recent_responses: RecentResponses,
-    /// When the connection was opened, was established, delivered its last response, or was released by an
-    /// attempt, whichever is latest.
-    pub(super) last_progress_at: Time,
+    /// When the connection was opened.
+    opened_at: Time,
+    /// When the connection delivered its last response; `None` if it has delivered none.
+    pub(super) last_response_at: Option<Time>,
 }
 
 impl UpstreamConnection {
@@ -69,8 +82,8 @@
             endpoint,
             address,
             attempt: None,
-            recent_responses: RecentResponses::default(),
-            last_progress_at: now,
+            opened_at: now,
+            last_response_at: None,
         }
     }
 
@@ -95,19 +108,15 @@
         self.connection.close_reason().is_none() && self.connection.input.is_empty()
     }
 
-    /// Whether the connection may carry a request.
-    ///
-    /// A request that must not be executed twice is kept off a connection that recently delivered a response
-    /// which proves that an earlier request was not executed. A duplicate of that response may still arrive
-    /// and be taken for the response to the new request, which would be sent again although the endpoint
-    /// executes it.
+    /// Whether the connection may carry a request: no duplicate of its last response can arrive any more.
     pub(super) fn can_carry(&self, now: Time, is_idempotent: bool) -> bool {
-        is_idempotent || !self.recent_responses.has_not_executed_response(now)
+        let window = if is_idempotent { DUPLICATE_WINDOW } else { DUPLICATE_WINDOW_NON_IDEMPOTENT };
+        self.last_response_at.is_none_or(|received_at| now - received_at >= window)
     }
 
-    /// The time since the connection last made progress.
-    pub(super) fn time_since_progress(&self, now: Time) -> Span {
-        now - self.last_progress_at
+    /// The time since the connection was opened.
+    pub(super) fn age(&self, now: Time) -> Span {
+        now - self.opened_at
     }
 
     /// Sends buffered output unless the peer has ended the connection. The endpoint never executes a request
--- a/crates/node/src/proxy/upstream/exchange.rs
+++ b/crates/node/src/proxy/upstream/exchange.rs
@@ -6,31 +6,12 @@
 use super::connection::UpstreamConnection;
 use crate::http::{Message, write_request};
 use crate::proxy::attempt_end::AttemptEnd;
-use crate::proxy::duplicate_response::ResponseVariety;
-use crate::proxy::request_table::{ActiveRequest, RequestTable};
+use crate::proxy::request_table::RequestTable;
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{CloseReason, ConnectionId};
 
-/// After a supposed duplicate, the node waits for the response to the request during this share of the time
-/// that the attempt has left.
-const DUPLICATE_WAIT_SHARE: f64 = 0.25;
-
 const MICROS_PER_MILLI: u64 = 1000;
 
-/// Tracks separately for reads and for writes whether responses differ from one to the next.
-#[derive(Default)]
-pub(super) struct VarietyByMethod {
-    reads: ResponseVariety,
-    writes: ResponseVariety,
-}
-
-impl VarietyByMethod {
-    fn of_request(&mut self, request: Option<&ActiveRequest>) -> &mut ResponseVariety {
-        let is_write = request.is_some_and(|active| active.message().head.method != "GET");
-        if is_write { &mut self.writes } else { &mut self.reads }
-    }
-}
-
 /// Whether a connection is still open after received data was handled.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ConnectionStatus {
@@ -45,8 +26,6 @@
         // No response is due on an idle connection. Data that arrives there would be read as the beginning of
         // the response to the next request, whose client would get a response to another request.
         if upstream.attempt.is_none() && !upstream.connection.input.is_empty() {
-            let endpoint = upstream.endpoint;
-            self.record_unsolicited_data(cx.now, endpoint);
             return self.close(cx, id, CloseReason::ProtocolError);
         }
         if is_writing_for_finished_request(upstream, cx.requests) {
@@ -146,36 +125,15 @@
     ) -> ConnectionStatus {
         let Some(upstream) = self.connections.get(&id) else { return ConnectionStatus::Closed };
         let Some(attempt) = &upstream.attempt else { return ConnectionStatus::Open };
-        let endpoint = upstream.endpoint;
         // An endpoint begins to execute a request once it has received all of it: a response that began to
         // arrive earlier answers no pending request.
         if response.head.status == 200 && attempt.has_early_data {
-            self.record_unsolicited_data(cx.now, endpoint);
             self.close(cx, id, CloseReason::ProtocolError);
             return ConnectionStatus::Closed;
         }
-        let time_left = attempt.response_deadline - cx.now;
-        if self.is_duplicate(cx, id, &response) {
-            // The response to this request is expected after the duplicate.
-            self.record_unsolicited_data(cx.now, endpoint);
-            cx.transport.timers.set_earlier(id, cx.now + time_left.scaled(DUPLICATE_WAIT_SHARE));
-            return ConnectionStatus::Open;
-        }
         self.finish_attempt(cx, id, response, written)
     }
 
-    /// Whether a response is taken for a duplicate of a response that its connection recently delivered.
-    fn is_duplicate(&mut self, cx: &TurnContext<'_>, id: ConnectionId, response: &Message) -> bool {
-        let Some(upstream) = self.connections.get(&id) else { return false };
-        let Some(attempt) = &upstream.attempt else { return false };
-        let pool = self.pools.get(&upstream.endpoint);
-        if pool.is_some_and(|pool| pool.has_uniform_responses(cx.now)) {
-            return false;
-        }
-        let variety = self.variety.of_request(cx.requests.get(attempt.id.request));
-        variety.is_established() && upstream.recent_responses.contains(cx.now, response)
-    }
-
     /// Ends an attempt with its response. The connection becomes idle if it can be reused, else it is closed.
     fn finish_attempt(
         &mut self,
@@ -187,21 +145,16 @@
         let Some(upstream) = self.connections.get_mut(&id) else { return ConnectionStatus::Closed };
         let Some(attempt) = upstream.attempt.take() else { return ConnectionStatus::Open };
         let endpoint = upstream.endpoint;
-        upstream.recent_responses.record(cx.now, &response);
-        self.variety.of_request(cx.requests.get(attempt.id.request)).record(&response);
         self.connections_by_attempt.remove(&attempt.id);
         let is_reusable =
             response.head.keep_alive && !attempt.has_early_data && upstream.is_clean() && written.is_ok();
-        upstream.last_progress_at = cx.now;
-        let has_excess_input = !upstream.connection.input.is_empty();
+        upstream.last_response_at = Some(cx.now);
+        self.answered.push(id);
         let is_current_address =
             self.pools.get(&endpoint).is_some_and(|pool| pool.address == upstream.address);
         let latency: Span = cx.now - attempt.started_at;
         let end = AttemptEnd::Response(response);
         cx.requests.on_attempt_end(attempt.id.request, attempt.id.number, endpoint, end, latency);
-        if has_excess_input {
-            self.record_unsolicited_data(cx.now, endpoint);
-        }
         if !is_reusable || !is_current_address {
             self.remove(cx.transport, id, CloseReason::NoLongerNeeded);
             return ConnectionStatus::Closed;
--- a/crates/node/src/proxy/upstream/mod.rs
+++ b/crates/node/src/proxy/upstream/mod.rs
@@ -20,7 +20,6 @@
 
 use self::connecting::{MAX_SURPLUS_CONNECTIONS, SURPLUS_CONNECT_TIMEOUT};
 use self::connection::{AssignedAttempt, AttemptId, UpstreamConnection};
-use self::exchange::VarietyByMethod;
 use self::pool::EndpointPool;
 use super::attempt_end::{AttemptEnd, RequestProgress};
 use super::endpoint_directory::KnownEndpoint;
@@ -30,10 +29,6 @@
 /// An idle connection is closed after this share of the time after which the endpoint may close it: a request
 /// that is written while the endpoint closes the connection is lost.
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
-/// Connections that have been idle for this time are preferred. A duplicate response may arrive some
-/// milliseconds after the original, and on a connection that already carries the next request it could be
-/// taken for the response to that request.
-const PREFERRED_IDLE_TIME: Span = Span::from_millis(20);
 
 /// The upstream side: the connections to all endpoints.
 pub struct Upstream {
@@ -41,9 +36,10 @@
     pools: BTreeMap<EndpointId, EndpointPool>,
     connections: BTreeMap<ConnectionId, UpstreamConnection>,
     connections_by_attempt: BTreeMap<AttemptId, ConnectionId>,
+    /// The connections that have delivered a response in this turn.
+    answered: Vec<ConnectionId>,
     connect_timeout: Span,
     idle_timeout: Span,
-    variety: VarietyByMethod,
 }
 
 impl Upstream {
@@ -55,9 +51,9 @@
             pools: BTreeMap::new(),
             connections: BTreeMap::new(),
             connections_by_attempt: BTreeMap::new(),
+            answered: Vec::new(),
             connect_timeout,
             idle_timeout: keep_alive.scaled(IDLE_TIMEOUT_SHARE),
-            variety: VarietyByMethod::default(),
         }
     }
 
@@ -138,8 +134,10 @@
         self.advance(cx, id);
     }
 
-    /// Takes an idle connection that the endpoint has not ended: a request that is written to an ended
-    /// connection is lost.
+    /// Takes the connection that has been idle for longest, if it may carry the request and the endpoint has
+    /// not ended it: a request that is written to an ended connection is lost. The longer a connection has been
+    /// idle, the less likely is a duplicate, and connections that take turns are not closed for being idle.
+    /// Every attempt that gets no new connection gets it here.
     fn take_idle(
         &mut self,
         cx: &mut TurnContext<'_>,
@@ -147,23 +145,17 @@
         is_idempotent: bool,
     ) -> Option<ConnectionId> {
         loop {
-            let id = self.remove_preferred_idle(cx.now, endpoint, is_idempotent)?;
+            let id = self.remove_usable_idle(cx.now, endpoint, is_idempotent)?;
             let upstream = self.connections.get_mut(&id)?;
             upstream.connection.receive();
             if upstream.is_clean() {
                 return Some(id);
             }
-            if !upstream.connection.input.is_empty() {
-                self.record_unsolicited_data(cx.now, endpoint);
-            }
             self.remove(cx.transport, id, CloseReason::ClosedByPeer);
         }
     }
 
-    /// Removes from the pool and returns the connection that was used last among those idle for
-    /// [`PREFERRED_IDLE_TIME`]. If there is none, takes the connection that has been idle for longest, unless
-    /// the endpoint has recently sent unsolicited data.
-    fn remove_preferred_idle(
+    fn remove_usable_idle(
         &mut self,
         now: Time,
         endpoint: EndpointId,
@@ -174,18 +166,8 @@
         let can_carry = |id: &ConnectionId| {
             connections.get(id).is_none_or(|upstream| upstream.can_carry(now, is_idempotent))
         };
-        let is_long_idle = |id: &ConnectionId| {
-            let upstream = connections.get(id);
-            upstream.is_none_or(|upstream| upstream.time_since_progress(now) >= PREFERRED_IDLE_TIME)
-        };
         // The pool's idle connections are in the order in which they became idle.
-        let long_idle_count = pool.idle.partition_point(is_long_idle);
-        let preferred = pool.idle[..long_idle_count].iter().rposition(can_carry);
-        let index = match preferred {
-            Some(index) => index,
-            None if pool.has_recent_unsolicited_data(now) => return None,
-            None => pool.idle.iter().position(can_carry)?,
-        };
+        let index = pool.idle.iter().position(can_carry)?;
         Some(pool.idle.remove(index))
     }
 
@@ -197,12 +179,6 @@
         cx.transport.timers.set(id, cx.now + self.idle_timeout);
     }
 
-    fn record_unsolicited_data(&mut self, now: Time, endpoint: EndpointId) {
-        if let Some(pool) = self.pools.get_mut(&endpoint) {
-            pool.record_unsolicited_data(now);
-        }
-    }
-
     /// Cancels an attempt. Its connection is kept if no byte of the request was sent, and closed otherwise.
     pub fn cancel(&mut self, cx: &mut TurnContext<'_>, request: RequestId, number: AttemptNumber) {
         let Some(id) = self.connections_by_attempt.get(&AttemptId { request, number }).copied() else {
@@ -215,6 +191,16 @@
         }
     }
 
+    /// Ends a turn. `now` is read here: the node may have been held up since the turn began, and a response of
+    /// this turn may have arrived as late as now. The time in which its duplicate may arrive counts from here.
+    pub fn end_turn(&mut self, now: Time) {
+        for id in self.answered.drain(..) {
+            if let Some(upstream) = self.connections.get_mut(&id) {
+                upstream.last_response_at = Some(now);
+            }
+        }
+    }
+
     /// Handles an event of a connection.
     pub fn on_event(&mut self, cx: &mut TurnContext<'_>, event: ReadinessEvent) {
         let Some(upstream) = self.connections.get(&event.id) else { return };
@@ -238,7 +224,7 @@
             return self.close(cx, id, CloseReason::DeadlineExceeded);
         }
         if upstream.connection.is_connected() {
-            return self.on_duplicate_wait_end(cx, id);
+            return cx.transport.timers.set(id, attempt.response_deadline);
         }
         if attempt.start_deadline <= cx.now {
             return self.release(cx, id, CloseReason::NoLongerNeeded);
@@ -249,17 +235,6 @@
         self.close(cx, id, CloseReason::ConnectTimeout);
     }
 
-    /// Ends an attempt that got a supposed duplicate and no response after it. The supposed duplicate may
-    /// have been the response, or not: no client gets it. For a while none of the endpoint's responses is
-    /// taken for a duplicate.
-    fn on_duplicate_wait_end(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
-        let endpoint = self.connections.get(&id).map(|upstream| upstream.endpoint);
-        if let Some(pool) = endpoint.and_then(|endpoint| self.pools.get_mut(&endpoint)) {
-            pool.mark_uniform_responses(cx.now);
-        }
-        self.close(cx, id, CloseReason::ProtocolError);
-    }
-
     /// Closes an idle connection to free its descriptor.
     pub fn evict(&mut self, transport: &mut Transport, id: ConnectionId) {
         self.remove_from_idle(id);
@@ -304,7 +279,6 @@
         if !upstream.is_clean() || !is_current_address {
             return self.remove(cx.transport, id, reason);
         }
-        upstream.last_progress_at = cx.now;
         self.add_idle(cx, endpoint, id);
         if let Some(upstream) = self.connections.get_mut(&id) {
             upstream.connection.update_interest(cx.transport);
--- a/crates/node/tests/upstream/fixture.rs
+++ b/crates/node/tests/upstream/fixture.rs
@@ -20,8 +20,6 @@
 const CONNECT_TIMEOUT: Span = Span::from_millis(5000);
 const KEEP_ALIVE: Span = Span::from_millis(60_000);
 pub const REQUEST_TIMEOUT: Span = Span::from_millis(1200);
-/// The share of a request's timeout during which the node waits for a response after a supposed duplicate.
-const DUPLICATE_WAIT_SHARE: f64 = 0.25;
 /// The longest time that a test waits for an event; every event comes sooner.
 const TEST_TIMEOUT: Duration = Duration::from_secs(8);
 /// The endpoint's receive buffer. It is far smaller than the tests' long messages, so that the node cannot
@@ -41,6 +39,8 @@
     pub requests: RequestTable,
     upstream: Upstream,
     now: Time,
+    /// How long the node is held up in each turn, after it has read its clock.
+    pub held_up: Span,
     listener: TcpListener,
     client: ConnectionId,
     last_request: u64,
@@ -57,6 +57,7 @@
             requests: RequestTable::default(),
             upstream: Upstream::new(UPSTREAM, CONNECT_TIMEOUT, KEEP_ALIVE),
             now: Time(1_000_000_000),
+            held_up: Span::ZERO,
             listener,
             client,
             last_request: 0,
@@ -69,7 +70,10 @@
     fn with_upstream<T>(&mut self, call: impl FnOnce(&mut Upstream, &mut TurnContext<'_>) -> T) -> T {
         let mut turn =
             TurnContext { transport: &mut self.transport, requests: &mut self.requests, now: self.now };
-        call(&mut self.upstream, &mut turn)
+        let result = call(&mut self.upstream, &mut turn);
+        self.now = self.now + self.held_up;
+        self.upstream.end_turn(self.now);
+        result
     }
 
     /// Lists the endpoint, or removes it from the list.
@@ -198,16 +202,6 @@
         }
     }
 
-    /// Waits until the node has taken a response for a duplicate and waits for the next response.
-    pub fn wait_for_duplicate(&mut self) {
-        let deadline = self.now + REQUEST_TIMEOUT.scaled(DUPLICATE_WAIT_SHARE);
-        self.wait_until("a detected duplicate", |fixture| {
-            let finished = fixture.requests.poll_finished_attempt();
-            assert!(finished.is_none(), "the duplicate was taken for the response");
-            fixture.transport.timers.first().filter(|(at, _)| *at <= deadline)
-        });
-    }
-
     /// Lets the node handle the events of its sockets, and then its timers.
     pub fn run_turn(&mut self) {
         let events = self.poll_events();
@@ -246,44 +240,32 @@
 
     /// Accepts a connection as the endpoint.
     pub fn accept(&self) -> TcpStream {
-        self.listener.set_nonblocking(true).expect("a socket");
         let start = Instant::now();
-        let stream = loop {
-            if let Ok((stream, _)) = self.listener.accept() {
-                break stream;
+        loop {
+            if let Some(stream) = self.accept_if_connected() {
+                return stream;
             }
             assert!(start.elapsed() < TEST_TIMEOUT, "the node opened no connection to the endpoint");
             std::thread::sleep(ACCEPT_POLL_INTERVAL);
-        };
-        self.listener.set_nonblocking(false).expect("a socket");
-        stream.set_nonblocking(false).expect("a socket");
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a socket");
-        stream
+        }
     }
 
-    /// Whether the node has opened a connection that the endpoint has not accepted. Accepts and closes it.
-    pub fn has_unaccepted_connection(&self) -> bool {
+    /// Accepts a connection as the endpoint, if the node has opened one.
+    pub fn accept_if_connected(&self) -> Option<TcpStream> {
         self.listener.set_nonblocking(true).expect("a socket");
         let accepted = self.listener.accept();
         self.listener.set_nonblocking(false).expect("a socket");
-        accepted.is_ok()
+        let (stream, _) = accepted.ok()?;
+        // Otherwise the system could hold a response back until the node has acknowledged the one before.
+        stream.set_nodelay(true).expect("a socket");
+        stream.set_nonblocking(false).expect("a socket");
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a socket");
+        Some(stream)
     }
 
-    /// Serves some requests over one connection, each with a different response, and leaves the connection
-    /// idle.
-    pub fn connection_with_varied_responses(&mut self) -> TcpStream {
-        let mut stream = None;
-        for n in 0..6 {
-            let request = self.send_read();
-            let stream = stream.get_or_insert_with(|| self.accept());
-            self.run_turn();
-            read_head(stream).expect("a request");
-            write(stream, &response(&format!("before-{n}")));
-            assert_eq!(self.wait_for_outcome(request), AttemptOutcome::Fulfilled);
-            self.poll_final_response(request);
-            self.advance_ms(300);
-        }
-        stream.expect("a connection")
+    /// Whether the node has opened a connection that the endpoint has not accepted. Accepts and closes it.
+    pub fn has_unaccepted_connection(&self) -> bool {
+        self.accept_if_connected().is_some()
     }
 
     /// Waits for the end of a request's attempt, and returns the outcome.
