--- a/crates/node/src/proxy/node/shutdown.rs
+++ b/crates/node/src/proxy/node/shutdown.rs
@@ -4,9 +4,9 @@
 //! after that all idle connections. The node ends once all clients' connections are closed, or when the time
 //! of the shutdown is over.
 //!
-//! Invariant: whatever the timeouts of request classes, every accepted request has its response
-//! [`MAX_REQUEST_TIME`] and [`RESPONSE_MARGIN`] after the signal, and the node ends [`EXIT_MARGIN`] after that
-//! request time: a process manager may kill it from then on.
+//! Invariants, whatever the timeouts of request classes: every accepted request has its response at the latest
+//! [`MAX_REQUEST_TIME`] plus [`RESPONSE_MARGIN`] after the signal, and the node ends at the latest
+//! [`MAX_REQUEST_TIME`] plus [`EXIT_MARGIN`] after it. A process manager may kill the node soon after that.
 
 use granitelb_balancer::time::{Span, Time};
 
--- a/crates/node/tests/upstream/duplicates.rs
+++ b/crates/node/tests/upstream/duplicates.rs
@@ -154,8 +154,9 @@
     }
 }
 
-/// A duplicate that is later than the window cannot be told from a response. It reaches one request at most:
-/// the response to that one arrives on an idle connection and ends it.
+/// A duplicate that is later than the window cannot be distinguished from a response. It reaches one request, and
+/// no further one if the response to that request arrives within the window: it arrives on an idle connection
+/// and ends it.
 #[test]
 fn duplicate_after_the_window_shifts_no_further_responses() {
     let mut fixture = Fixture::new();
