Refuse requests that violate HTTP or the protocol, alone where their end is certain

Cause: the parser checked what decides where a message ends, and little else. Hosts were counted, not parsed; targets were any visible characters; chunk extensions were skipped; trailers were read and dropped unseen; values were trimmed of control characters and numbers parsed by a library that takes a sign.

Change: `http` checks hosts, targets, connection options, chunk extensions, trailers and reason phrases by the grammar, and hands targets on as a type; the request decoder checks each header that the protocol names. A request whose framing is certain is read to its end and refused in its turn (`PipelineEntry::Defective`), so that what stands behind it, or arrives later, is answered. Rejections are counted and logged by reason. Headers take one allocation for all names and one for all values.

Changed tests: `malformed-requests`, `incomplete-requests` and `pipelined-behind-rejection` expected the connection to end after a 400 or 409 whose request had a certain end. They now expect an answer on the same connection, and still a close where the end is uncertain or the client asks for one.

--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -2,6 +2,11 @@
 
 use std::fmt;
 
+use super::headers::Headers;
+use super::request_defect::RequestDefect;
+use super::request_target::RequestTarget;
+use super::syntax::trim_whitespace;
+
 /// Headers that are not forwarded, because they apply to a single connection (RFC 9110, 7.6.1) or the node
 /// writes its own value.
 const HOP_BY_HOP_HEADERS: [&str; 10] = [
@@ -31,14 +36,16 @@
 pub struct MessageHead {
     /// The method of a request; empty for a response.
     pub method: String,
-    /// The target of a request; empty for a response.
-    pub target: String,
+    /// The target of a request; empty for a response, and for a request that has a defect.
+    pub target: RequestTarget,
     /// The status code of a response; 0 for a request.
     pub status: u16,
     /// Whether the sender allows further messages on the connection after this one.
     pub keep_alive: bool,
     /// The headers in the order of the message.
-    pub headers: Vec<(String, Vec<u8>)>,
+    pub headers: Headers,
+    /// Why a request is refused although its framing is certain; `None` if its head is valid.
+    pub defect: Option<RequestDefect>,
 }
 
 impl MessageHead {
@@ -65,32 +72,28 @@
 
     /// All values of a header, in the order of the message.
     pub fn header_values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
-        self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| &v[..])
+        self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
     }
 
     /// Whether a header whose value is a comma-separated list contains the token.
     pub fn has_token(&self, name: &str, token: &str) -> bool {
-        let mut tokens = self.header_values(name).flat_map(|value| value.split(|byte| *byte == b','));
-        tokens.any(|t| t.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+        self.list_elements(name).any(|element| element.eq_ignore_ascii_case(token.as_bytes()))
     }
 
-    /// The non-empty segments of the target's path, without the query.
-    pub fn path_segments(&self) -> impl DoubleEndedIterator<Item = &str> {
-        let path = self.target.split(['?', '#']).next().unwrap_or_default();
-        path.split('/').filter(|segment| !segment.is_empty())
+    /// The elements of a header whose value is a comma-separated list. Elements may be empty.
+    pub fn list_elements<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let elements = self.header_values(name).flat_map(|value| value.split(|byte| *byte == b','));
+        elements.map(trim_whitespace)
     }
 
     /// The headers that are forwarded, since they are meant for the final recipient and not for the next hop.
     pub fn end_to_end_headers(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        let forwarded = self.headers.iter().filter(|(name, _)| !self.is_hop_by_hop(name));
-        forwarded.map(|(name, value)| (&name[..], &value[..]))
+        self.headers.iter().filter(|(name, _)| !self.is_hop_by_hop(name))
     }
 
     /// The memory that the head has allocated, in bytes.
-    fn allocated_bytes(&self) -> usize {
-        let texts: usize = self.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
-        let entries = self.headers.len() * size_of::<(String, Vec<u8>)>();
-        self.method.len() + self.target.len() + texts + entries
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.method.capacity() + self.target.allocated_bytes() + self.headers.allocated_bytes()
     }
 
     fn is_hop_by_hop(&self, name: &str) -> bool {
@@ -109,9 +112,9 @@
 }
 
 impl Message {
-    /// The memory that the message takes, in bytes.
-    pub fn memory_bytes(&self) -> usize {
-        size_of::<Message>() + self.head.allocated_bytes() + self.body.len()
+    /// The memory that the message has allocated, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        self.head.allocated_bytes() + self.body.capacity()
     }
 }
 
--- a/crates/node/src/http/message_decoder.rs
+++ b/crates/node/src/http/message_decoder.rs
@@ -7,6 +7,9 @@
 /// Largest body of a message in bytes, as limited by the protocol.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// Headers about a message's framing, destination or connection, which no trailer may be (RFC 9110, 6.5.1).
+const FORBIDDEN_TRAILERS: [&str; 5] = ["connection", "content-length", "host", "te", "transfer-encoding"];
+
 /// The message that is being read, once its head is complete.
 struct IncompleteMessage {
     message: Message,
@@ -20,6 +23,7 @@
 ///
 /// Interim responses (status 1xx) are consumed and not returned.
 pub struct MessageDecoder {
+    kind: MessageKind,
     parser: Parser,
     incomplete: Option<IncompleteMessage>,
 }
@@ -27,7 +31,7 @@
 impl MessageDecoder {
     /// Creates a decoder of requests or of responses.
     pub fn new(kind: MessageKind) -> MessageDecoder {
-        MessageDecoder { parser: Parser::new(kind), incomplete: None }
+        MessageDecoder { kind, parser: Parser::new(kind), incomplete: None }
     }
 
     /// Whether the decoder is between two messages: no part of the next message has been consumed.
@@ -68,6 +72,7 @@
             match part {
                 MessagePart::Head(head) => self.begin_message(head)?,
                 MessagePart::Body(bytes) => self.append_to_body(&bytes)?,
+                MessagePart::Trailer(name) => self.check_trailer(&name)?,
                 MessagePart::End => {
                     let Some(IncompleteMessage { mut message, .. }) = self.incomplete.take() else {
                         continue;
@@ -98,11 +103,23 @@
         if announced > MAX_BODY_BYTES {
             return Err(ParseError::BodyTooLarge);
         }
-        let message = Message { head, body: Vec::with_capacity(announced) };
-        self.incomplete = Some(IncompleteMessage { message, body_bytes: 0, discards_body: false });
+        let discards_body = head.defect.is_some();
+        let reserved = if discards_body { 0 } else { announced };
+        let message = Message { head, body: Vec::with_capacity(reserved) };
+        self.incomplete = Some(IncompleteMessage { message, body_bytes: 0, discards_body });
         Ok(())
     }
 
+    /// Refuses trailers that a hop which adds trailers to the headers would take for another statement about
+    /// the message than the head makes. All other trailers are ignored (RFC 9110, 6.5.1).
+    fn check_trailer(&self, name: &str) -> Result<(), ParseError> {
+        let Some(incomplete) = &self.incomplete else { return Err(ParseError::Malformed) };
+        let head = &incomplete.message.head;
+        let is_forbidden = FORBIDDEN_TRAILERS.iter().any(|forbidden| name.eq_ignore_ascii_case(forbidden));
+        let is_repeated = self.kind == MessageKind::Request && head.header_values(name).next().is_some();
+        if is_forbidden || is_repeated { Err(ParseError::Malformed) } else { Ok(()) }
+    }
+
     fn append_to_body(&mut self, bytes: &[u8]) -> Result<(), ParseError> {
         let Some(incomplete) = &mut self.incomplete else { return Err(ParseError::Malformed) };
         incomplete.body_bytes += bytes.len();
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -5,14 +5,22 @@
 //! layer above.
 
 mod endpoint_list;
+mod headers;
 mod message;
 mod message_decoder;
 mod parser;
+mod request_defect;
+mod request_target;
+mod request_validation;
 mod syntax;
 mod writer;
 
 pub use endpoint_list::{EndpointEntry, EndpointListUpdate, EndpointState, SkippedEntry};
+pub use headers::Headers;
 pub use message::{Message, MessageHead, MessageKind, ParseError};
 pub use message_decoder::MessageDecoder;
 pub use parser::{MessagePart, Parser};
+pub use request_defect::RequestDefect;
+pub use request_target::RequestTarget;
+pub use syntax::{HostAndPort, is_token, trim_whitespace};
 pub use writer::{write_local_reply, write_request, write_response};
--- a/crates/node/src/http/parser.rs
+++ b/crates/node/src/http/parser.rs
@@ -1,11 +1,14 @@
 //! An incremental parser of HTTP/1.1 messages, whose result does not depend on how the bytes are split.
 //!
 //! The parser refuses ambiguous messages (with two framings, bare line feeds or conflicting lengths), since
-//! hops that interpret a message differently allow request smuggling.
+//! hops that interpret a message differently allow request smuggling. After an error it is not certain where the
+//! message ends, so that nothing behind it can be read. A request whose end is certain is parsed to its end, and
+//! [`MessageHead::defect`] says what else is wrong with it.
 
 use super::message::{MessageHead, MessageKind, ParseError};
+use super::request_validation::validate_request;
 use super::syntax::{
-    is_target, is_token, parse_chunk_size, parse_content_length, parse_header, parse_status,
+    is_field_byte, is_token, parse_chunk_size, parse_content_length, parse_header, parse_status, split_header,
 };
 use crate::transport::RingBuffer;
 
@@ -21,14 +24,16 @@
 /// Bytes of empty lines that are accepted before a request.
 const MAX_LEADING_BYTES: usize = 8;
 
-/// A part of a message. The parts of a message come in this order: one head, any number of body parts, one
-/// end.
+/// A part of a message. The parts of a message come in this order: one head, any number of body parts, any
+/// number of trailers, one end.
 #[derive(Debug)]
 pub enum MessagePart {
     /// The start line and headers.
     Head(MessageHead),
     /// The next bytes of the body.
     Body(Vec<u8>),
+    /// The name of a header behind a chunked body. Its value is ignored.
+    Trailer(String),
     /// The message is complete.
     End,
 }
@@ -66,6 +71,8 @@
     /// Number of input bytes that were searched for the end of the current line.
     searched: usize,
     head: MessageHead,
+    /// The target of the current request, as it was received.
+    target: String,
     /// Bytes of the current head, or of the current trailers, that were consumed.
     head_bytes: usize,
     /// Whether the version of the current message is HTTP/1.1. Otherwise it is HTTP/1.0.
@@ -80,6 +87,7 @@
             state: State::StartLine,
             searched: 0,
             head: MessageHead::default(),
+            target: String::new(),
             head_bytes: 0,
             is_http_1_1: false,
         }
@@ -153,13 +161,18 @@
         if line.is_empty() {
             self.state = self.parse_framing()?;
             self.head_bytes = 0;
-            let head = std::mem::take(&mut self.head);
+            let mut head = std::mem::take(&mut self.head);
+            head.headers.shrink_to_fit();
+            let target = std::mem::take(&mut self.target);
+            if self.kind == MessageKind::Request {
+                head.defect = validate_request(&mut head, &target, self.is_http_1_1).err();
+            }
             return Ok(Step::Part(MessagePart::Head(head)));
         }
         if self.head.headers.len() >= MAX_HEADERS {
             return Err(ParseError::HeadTooLarge);
         }
-        self.head.headers.push(parse_header(&line)?);
+        parse_header(&line, &mut self.head.headers)?;
         Ok(Step::Advanced)
     }
 
@@ -209,8 +222,8 @@
             self.head_bytes = 0;
             return Ok(Step::Part(MessagePart::End));
         }
-        parse_header(&line)?;
-        Ok(Step::Advanced)
+        let (name, _) = split_header(&line)?;
+        Ok(Step::Part(MessagePart::Trailer(name.to_string())))
     }
 
     /// Consumes the next line and returns it without its line break, or `None` if the line is not complete.
@@ -244,47 +257,52 @@
     }
 
     fn parse_start_line(&mut self, line: &[u8]) -> Result<(), ParseError> {
-        let line = std::str::from_utf8(line).map_err(|_| ParseError::Malformed)?;
-        let mut words = line.splitn(3, ' ').map(|word| match word {
-            "" => Err(ParseError::Malformed),
-            word => Ok(word),
-        });
-        let mut next_word = || words.next().unwrap_or(Err(ParseError::Malformed));
+        let mut words = line.splitn(3, |byte| *byte == b' ');
+        let mut next_word = || words.next().filter(|word| !word.is_empty()).ok_or(ParseError::Malformed);
         let version = match self.kind {
             MessageKind::Request => {
                 let method = next_word()?;
                 let target = next_word()?;
                 let version = next_word()?;
-                if !is_token(method.as_bytes()) || !is_target(target) {
-                    return Err(ParseError::Malformed);
-                }
-                self.head.method = method.to_string();
-                self.head.target = target.to_string();
+                self.begin_request(method, target)?;
                 version
             }
             MessageKind::Response => {
                 let version = next_word()?;
                 self.head.status = parse_status(next_word()?)?;
+                let reason_phrase = words.next().unwrap_or_default();
+                if !reason_phrase.iter().copied().all(is_field_byte) {
+                    return Err(ParseError::Malformed);
+                }
                 version
             }
         };
         self.is_http_1_1 = match version {
-            "HTTP/1.1" => true,
-            "HTTP/1.0" => false,
+            b"HTTP/1.1" => true,
+            b"HTTP/1.0" => false,
             _ => return Err(ParseError::Malformed),
         };
         Ok(())
     }
 
+    /// Records the method and the target, whose syntax is checked once the head is complete: a target of other
+    /// characters than visible ones leaves it uncertain which hop reads which line.
+    fn begin_request(&mut self, method: &[u8], target: &[u8]) -> Result<(), ParseError> {
+        let is_visible = target.iter().all(u8::is_ascii_graphic);
+        if !is_token(method) || !is_visible {
+            return Err(ParseError::Malformed);
+        }
+        self.head.method = String::from_utf8_lossy(method).into_owned();
+        self.target = String::from_utf8_lossy(target).into_owned();
+        Ok(())
+    }
+
     /// Determines from the complete head how the body is delimited (RFC 9112, 6.3).
     fn parse_framing(&mut self) -> Result<State, ParseError> {
         let is_request = self.kind == MessageKind::Request;
         let head = &mut self.head;
         head.keep_alive = !head.has_token("connection", "close")
             && (self.is_http_1_1 || head.has_token("connection", "keep-alive"));
-        if is_request && self.is_http_1_1 && head.header_values("host").count() != 1 {
-            return Err(ParseError::Malformed);
-        }
         let content_length = parse_content_length(head)?;
         if !is_request && has_no_body(head.status) {
             return Ok(State::FixedLengthBody(0));
--- /dev/null
+++ b/crates/node/src/http/request_validation.rs
@@ -0,0 +1,58 @@
+//! Validates the parts of a request's head that do not decide where the request ends.
+
+use super::message::MessageHead;
+use super::request_defect::RequestDefect;
+use super::request_target::RequestTarget;
+use super::syntax::{HostAndPort, is_token};
+
+/// Headers about a request's framing and destination. If `Connection` names one, some hops remove it and read
+/// another request than the others.
+const END_TO_END_HEADERS: [&str; 3] = ["content-length", "host", "transfer-encoding"];
+
+/// Validates the head of a request and sets its target.
+///
+/// # Errors
+///
+/// Returns the first defect that was found.
+pub(super) fn validate_request(
+    head: &mut MessageHead,
+    target: &str,
+    is_http_1_1: bool,
+) -> Result<(), RequestDefect> {
+    let host = parse_host(head, is_http_1_1)?;
+    validate_connection(head)?;
+    let parsed = RequestTarget::parse_any_form(target)?;
+    match (&host, &parsed.authority) {
+        (Some(host), Some(authority)) if !host.is_same(authority) => {
+            return Err(RequestDefect::ConflictingHost);
+        }
+        (None, Some(authority)) => head.headers.push("Host", authority.as_str().as_bytes()),
+        _ => {}
+    }
+    head.target = parsed.target;
+    Ok(())
+}
+
+/// The value of the `Host` header, which only an HTTP/1.0 request may lack (RFC 9112, 3.2).
+fn parse_host(head: &MessageHead, is_http_1_1: bool) -> Result<Option<HostAndPort>, RequestDefect> {
+    let mut values = head.header_values("host");
+    let Some(value) = values.next() else {
+        return if is_http_1_1 { Err(RequestDefect::MissingHost) } else { Ok(None) };
+    };
+    if values.next().is_some() {
+        return Err(RequestDefect::RepeatedHost);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| RequestDefect::InvalidHost)?;
+    HostAndPort::parse(text).map(Some).ok_or(RequestDefect::InvalidHost)
+}
+
+fn validate_connection(head: &MessageHead) -> Result<(), RequestDefect> {
+    let is_option = |option: &[u8]| option.is_empty() || is_token(option);
+    if !head.list_elements("connection").all(is_option) {
+        return Err(RequestDefect::InvalidConnection);
+    }
+    if END_TO_END_HEADERS.iter().any(|name| head.has_token("connection", name)) {
+        return Err(RequestDefect::ConnectionNamesEndToEndHeader);
+    }
+    Ok(())
+}
--- a/crates/node/src/http/writer.rs
+++ b/crates/node/src/http/writer.rs
@@ -10,12 +10,16 @@
 const TYPICAL_HEADER_BYTES: usize = 64;
 
 /// Writes a request for the next hop. `timeout_ms` is the remaining time of the request, in milliseconds.
-pub fn write_request(output: &mut RingBuffer, request: &Message, timeout_ms: u64) {
+/// A request that names no host, as HTTP/1.0 allows, gets `default_host`: HTTP/1.1 requires one.
+pub fn write_request(output: &mut RingBuffer, request: &Message, default_host: &str, timeout_ms: u64) {
     let start_line = format!("{} {} HTTP/1.1\r\n", request.head.method, request.head.target);
     // The next hop would read a timeout of 0 as no timeout.
     let timeout = timeout_ms.max(1).to_string();
     let length = request.body.len().to_string();
     let mut headers: Vec<_> = request.head.end_to_end_headers().collect();
+    if request.head.header_values("host").next().is_none() {
+        headers.push(("Host", default_host.as_bytes()));
+    }
     headers.push(("X-Timeout-Ms", timeout.as_bytes()));
     if !request.body.is_empty() || request.head.method != "GET" {
         headers.push(("Content-Length", length.as_bytes()));
--- a/crates/node/src/proxy/discovery_watch/stream.rs
+++ b/crates/node/src/proxy/discovery_watch/stream.rs
@@ -80,6 +80,7 @@
             match part {
                 MessagePart::Head(head) => self.on_head(transport, now, &head)?,
                 MessagePart::Body(bytes) => self.on_body(transport, now, bytes, updates)?,
+                MessagePart::Trailer(_) => {}
                 MessagePart::End if self.state == StreamState::Requested => {}
                 MessagePart::End => return Err(CloseReason::ClosedByPeer),
             }
--- a/crates/node/src/proxy/downstream/advance.rs
+++ b/crates/node/src/proxy/downstream/advance.rs
@@ -4,6 +4,7 @@
 
 use super::client::ClientState;
 use super::pipeline::{Pipeline, PipelineEntry};
+use super::rejection::Rejection;
 use super::{Downstream, MAX_READS_PER_TURN, MESSAGE_TIMEOUT, WRITE_TIMEOUT};
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{CloseReason, ConnectionId};
@@ -105,8 +106,12 @@
                 self.reject_excess(cx, id, count);
                 Taken::Excess
             }
+            Some(PipelineEntry::Defective { defect, keep_alive }) => {
+                self.on_defective_message(cx, id, defect, keep_alive);
+                Taken::Other
+            }
             Some(PipelineEntry::Invalid(error)) => {
-                self.reject(cx, id, error.status());
+                self.reject(cx, id, Rejection::Unparsable(error));
                 Taken::Other
             }
             None if client.send_continue_if_expected() => Taken::Other,
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -9,6 +9,8 @@
 mod client;
 mod client_limits;
 mod pipeline;
+mod rejection;
+mod request_attributes;
 mod request_decoder;
 mod requests;
 
@@ -22,6 +24,7 @@
 use self::client_limits::ClientLimits;
 pub(super) use self::client_limits::ResourceLimits;
 pub use self::pipeline::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
+use self::rejection::Rejection;
 use self::request_decoder::RequestDecoder;
 use self::requests::write_with_retry_after;
 use super::final_response::FinalResponse;
@@ -166,7 +169,7 @@
             self.close(cx, id, CloseReason::NoLongerNeeded);
         } else if matches!(client.state, ClientState::Reading) && client.pipeline.is_empty() {
             // The sender of an incomplete message gets an error response before the connection is closed.
-            self.reject(cx, id, 408);
+            self.reject(cx, id, Rejection::Incomplete);
             self.advance(cx, id);
         }
     }
--- a/crates/node/src/proxy/downstream/pipeline.rs
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -12,7 +12,7 @@
 
 use granitelb_balancer::time::Time;
 
-use crate::http::{Message, MessageDecoder, MessageHead, MessageKind, ParseError};
+use crate::http::{Message, MessageDecoder, MessageHead, MessageKind, ParseError, RequestDefect};
 use crate::transport::RingBuffer;
 
 /// The most memory, in bytes, for what a client has sent ahead. A message of the maximum length fits.
@@ -34,10 +34,29 @@
         /// The number of requests.
         count: u64,
     },
+    /// A complete message that is no valid request. What stands behind it can be read.
+    Defective {
+        /// What is wrong with it.
+        defect: RequestDefect,
+        /// Whether the client keeps the connection open after the message.
+        keep_alive: bool,
+    },
     /// Input that is not a valid request. Nothing behind it can be read.
     Invalid(ParseError),
 }
 
+impl PipelineEntry {
+    /// The memory that the entry takes, in bytes. Requests in excess are counted, not held, and invalid input
+    /// is the last entry.
+    fn memory_bytes(&self) -> usize {
+        match self {
+            PipelineEntry::Request { message, .. } => size_of::<PipelineEntry>() + message.allocated_bytes(),
+            PipelineEntry::Defective { .. } => size_of::<PipelineEntry>(),
+            PipelineEntry::Excess { .. } | PipelineEntry::Invalid(_) => 0,
+        }
+    }
+}
+
 /// The requests of one connection that have not had their turn, in order.
 pub struct Pipeline {
     decoder: MessageDecoder,
@@ -94,9 +113,7 @@
             return Some(PipelineEntry::Excess { count: max_excess });
         }
         let entry = self.entries.pop_front()?;
-        if let PipelineEntry::Request { message, .. } = &entry {
-            self.held_bytes -= message.memory_bytes();
-        }
+        self.held_bytes -= entry.memory_bytes();
         Some(entry)
     }
 
@@ -129,7 +146,9 @@
     pub fn next_arrived_at(&self) -> Option<Time> {
         match self.entries.front()? {
             PipelineEntry::Request { arrived_at, .. } => Some(*arrived_at),
-            PipelineEntry::Excess { .. } | PipelineEntry::Invalid(_) => None,
+            PipelineEntry::Excess { .. } | PipelineEntry::Defective { .. } | PipelineEntry::Invalid(_) => {
+                None
+            }
         }
     }
 
@@ -150,12 +169,17 @@
     fn push(&mut self, message: Message, arrived_at: Time) {
         self.has_ended = !message.head.keep_alive;
         let is_discarded = std::mem::take(&mut self.is_discarding);
-        let bytes = message.memory_bytes();
+        let keep_alive = message.head.keep_alive;
+        let entry = match message.head.defect {
+            Some(defect) => PipelineEntry::Defective { defect, keep_alive },
+            None => PipelineEntry::Request { message, arrived_at },
+        };
+        let bytes = entry.memory_bytes();
         if is_discarded || bytes > self.available_bytes() {
             return self.push_excess();
         }
         self.held_bytes += bytes;
-        self.entries.push_back(PipelineEntry::Request { message, arrived_at });
+        self.entries.push_back(entry);
     }
 
     fn push_excess(&mut self) {
--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -5,8 +5,9 @@
 use super::Downstream;
 use super::WRITE_TIMEOUT;
 use super::client::ClientState;
+use super::rejection::Rejection;
 use super::request_decoder::{DecodedRequest, RequestError};
-use crate::http::{Message, MessageHead, write_local_reply};
+use crate::http::{Message, MessageHead, RequestDefect, write_local_reply};
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{ConnectionId, RingBuffer};
 
@@ -19,31 +20,46 @@
         message: Message,
         arrived_at: Time,
     ) {
-        cx.transport.mark_busy(id);
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.sent_continue = false;
-        client.is_new = false;
-        self.evict_first.remove(id);
-        client.keep_alive = message.head.keep_alive;
-        if message.head.path_segments().next() == Some("health") {
+        self.begin_message(cx, id, message.head.keep_alive);
+        if message.head.target.path_segments().next() == Some("health") {
             return self.answer_health_check(cx, id, &message.head);
         }
         // Only clients with a request in progress count here. The others delay no request, and are evicted
         // first when there are too many clients.
         let is_overloaded = cx.requests.pending_count() >= self.limits.served;
         match self.decoder.decode(&message.head) {
-            Ok(_) if is_overloaded => self.reject(cx, id, 503),
+            Ok(_) if is_overloaded => self.reject(cx, id, Rejection::Overloaded),
             Ok(decoded) => self.admit(cx, id, arrived_at, decoded, message),
-            Err(RequestError::MethodNotAllowed) => {
-                self.reply_locally(cx, id, 405, &[("Allow", b"GET, PUT")]);
-            }
-            Err(RequestError::NotFound) => self.reply_locally(cx, id, 404, &[]),
-            Err(RequestError::Malformed) => self.reject(cx, id, 400),
+            Err(error) => self.reject(cx, id, Rejection::NotServed(error)),
         }
     }
 
+    /// Answers a complete message that is no valid request.
+    pub(super) fn on_defective_message(
+        &mut self,
+        cx: &mut TurnContext<'_>,
+        id: ConnectionId,
+        defect: RequestDefect,
+        keep_alive: bool,
+    ) {
+        self.begin_message(cx, id, keep_alive);
+        self.reject(cx, id, Rejection::Defective(defect));
+    }
+
+    fn begin_message(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, keep_alive: bool) {
+        cx.transport.mark_busy(id);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.sent_continue = false;
+        client.is_new = false;
+        client.keep_alive = keep_alive;
+        self.evict_first.remove(id);
+    }
+
     fn answer_health_check(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, head: &MessageHead) {
-        let status = match head.path_segments().nth(1) {
+        let status = match head.target.path_segments().nth(1) {
+            Some("ready" | "live") if head.method != "GET" => {
+                return self.reply_locally(cx, id, 405, &[("Allow", b"GET")]);
+            }
             Some("ready") if self.shutdown_deadline.is_some() => 503,
             Some("ready" | "live") => 200,
             _ => 404,
@@ -78,11 +94,11 @@
         let shutdown_deadline = self.shutdown_deadline.unwrap_or(Time(u64::MAX));
         request.client_timeout = (arrived_at + request.client_timeout).min(shutdown_deadline) - cx.now;
         if request.client_timeout == Span::ZERO {
-            return self.reject_expired(cx, id);
+            return self.reject(cx, id, Rejection::Expired);
         }
         let budget = request.client_timeout;
         let Some(request_id) = cx.requests.insert(id, request, client_request_id, message) else {
-            return self.reject(cx, id, 409);
+            return self.reject(cx, id, Rejection::RequestIdPending);
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.state = ClientState::AwaitingResponse(request_id);
@@ -90,15 +106,6 @@
         cx.transport.timers.set(id, cx.now + budget + WRITE_TIMEOUT);
     }
 
-    /// Rejects a request whose time budget passed before the node could read it, as behind another request on
-    /// its connection. Nothing was forwarded for it.
-    fn reject_expired(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
-        write_with_retry_after(&mut client.connection.output, 503, self.retry_after, keep_alive);
-        self.begin_writing(cx, id, keep_alive);
-    }
-
     /// Rejects requests that exceeded the memory for requests sent ahead. Nothing was forwarded for them.
     pub(super) fn reject_excess(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, count: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -116,15 +123,29 @@
         self.begin_writing(cx, id, keep_alive);
     }
 
-    /// Answers a message with an error status. The response ends the connection unless complete requests stand
-    /// behind the message: each of those is answered.
-    pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, status: u16) {
+    /// Answers a message with an error, for which nothing was forwarded. Complete requests behind it are
+    /// answered in any case; further ones can follow unless the rejection ends the connection.
+    pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, rejection: Rejection) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        log::debug!("rejected a client's message with status {status}");
-        // Only a lack of capacity passes with time: a retry after any other error would fail again.
-        let retry_after = if status == 503 { self.retry_after } else { Span::ZERO };
-        let keep_alive = client.pipeline.has_request();
-        write_with_retry_after(&mut client.connection.output, status, retry_after, keep_alive);
+        let status = rejection.status();
+        log::debug!(
+            event = "message_rejected", connection:% = id, status = status, reason = rejection.name();
+            "rejected a message on connection {id} with status {status}: {rejection}"
+        );
+        cx.requests.count_rejection(rejection.name());
+        let is_shutting_down = self.shutdown_deadline.is_some();
+        let keep_alive = match rejection.keeps_connection() {
+            true => client.keeps_alive(is_shutting_down),
+            false => client.pipeline.has_request(),
+        };
+        let retry_after = if rejection.is_temporary() { self.retry_after } else { Span::ZERO };
+        let output = &mut client.connection.output;
+        match rejection {
+            Rejection::NotServed(RequestError::MethodNotAllowed) => {
+                write_local_reply(output, status, &[("Allow", b"GET, PUT")], keep_alive);
+            }
+            _ => write_with_retry_after(output, status, retry_after, keep_alive),
+        }
         client.is_new = false;
         self.evict_first.remove(id);
         cx.transport.mark_busy(id);
--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt_end;
 mod balancer_driver;
+mod client_request_id;
 mod discovery_watch;
 mod downstream;
 mod endpoint_directory;
@@ -24,6 +25,7 @@
 mod upstream;
 
 pub use attempt_end::{AttemptEnd, RequestProgress};
+pub use client_request_id::ClientRequestId;
 pub use downstream::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
 pub use endpoint_directory::KnownEndpoint;
 pub use final_response::FinalResponse;
--- a/crates/node/src/proxy/request_metrics.rs
+++ b/crates/node/src/proxy/request_metrics.rs
@@ -19,6 +19,8 @@
     unreadable_load_reports: u64,
     /// The number of requests that clients had sent ahead in excess of the limit.
     excess_requests: u64,
+    /// The number of messages that the node answered with an error by itself, by the name of the reason.
+    rejections: BTreeMap<&'static str, u64>,
 }
 
 impl RequestMetrics {
@@ -48,20 +50,32 @@
         self.excess_requests += count;
     }
 
+    /// Counts a message that was rejected for this reason.
+    pub(super) fn count_rejection(&mut self, reason: &'static str) {
+        *self.rejections.entry(reason).or_default() += 1;
+    }
+
     /// Writes the counts to the log.
     pub(super) fn log(&self) {
         log::info!(
             event = "request_metrics", fulfilled = self.fulfilled, rate_limited = self.rate_limited,
             errored = self.errored, client_disconnected = self.client_disconnected,
             attempts = self.total_attempts(), unreadable_load_reports = self.unreadable_load_reports,
-            excess_requests = self.excess_requests;
+            excess_requests = self.excess_requests, rejected_messages = self.total_rejections();
             "{self}"
         );
     }
 
     /// Whether neither a request nor an attempt was counted.
     pub(super) fn is_empty(&self) -> bool {
-        self.total_requests() == 0 && self.attempts.is_empty() && self.excess_requests == 0
+        self.total_requests() == 0
+            && self.attempts.is_empty()
+            && self.excess_requests == 0
+            && self.rejections.is_empty()
+    }
+
+    fn total_rejections(&self) -> u64 {
+        self.rejections.values().sum()
     }
 
     fn total_requests(&self) -> u64 {
@@ -85,21 +99,31 @@
             self.client_disconnected,
             self.total_attempts(),
         )?;
-        let mut separator = ":";
-        for (outcome, count) in &self.attempts {
-            write!(f, "{separator} {count} {outcome}")?;
-            separator = ",";
-        }
+        write_counts(f, &self.attempts)?;
         if self.unreadable_load_reports > 0 {
             write!(f, "; {} unreadable load reports", self.unreadable_load_reports)?;
         }
         if self.excess_requests > 0 {
             write!(f, "; {} rejected as sent ahead in excess of the limit", self.excess_requests)?;
         }
+        if !self.rejections.is_empty() {
+            write!(f, "; {} messages rejected", self.total_rejections())?;
+            write_counts(f, &self.rejections)?;
+        }
         Ok(())
     }
 }
 
+/// Writes counts with their names, after a colon.
+fn write_counts(f: &mut fmt::Formatter<'_>, counts: &BTreeMap<&'static str, u64>) -> fmt::Result {
+    let mut separator = ":";
+    for (name, count) in counts {
+        write!(f, "{separator} {count} {name}")?;
+        separator = ",";
+    }
+    Ok(())
+}
+
 fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Fulfilled => "fulfilled",
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -11,6 +11,7 @@
 use granitelb_balancer::{AttemptOutcome, AttemptResult, LoadReport, LocalReply, Request};
 
 use super::attempt_end::AttemptEnd;
+use super::client_request_id::ClientRequestId;
 use super::final_response::FinalResponse;
 use super::load_report::parse_load_report;
 use super::request_metrics::RequestMetrics;
@@ -41,7 +42,7 @@
     /// The message that is forwarded to endpoints.
     message: Message,
     /// The client's identifier for the request.
-    client_request_id: Box<str>,
+    client_request_id: ClientRequestId,
     attempts_started: u8,
     attempts_in_flight: usize,
     missed_in_cache: bool,
@@ -61,7 +62,7 @@
 
     /// The client's identifier for the request.
     pub fn client_request_id(&self) -> &str {
-        &self.client_request_id
+        self.client_request_id.as_str()
     }
 
     /// Whether the request is a read for which a cache server reported a cache miss.
@@ -110,7 +111,7 @@
 pub struct RequestTable {
     requests: HashMap<RequestId, ActiveRequest>,
     /// The client's identifiers of the requests that wait for their final response.
-    pending_ids: HashSet<Box<str>>,
+    pending_ids: HashSet<ClientRequestId>,
     last_id: u64,
     arrived: VecDeque<RequestId>,
     disconnected: VecDeque<RequestId>,
@@ -130,7 +131,7 @@
         &mut self,
         client: ConnectionId,
         request: Request,
-        client_request_id: Box<str>,
+        client_request_id: ClientRequestId,
         message: Message,
     ) -> Option<RequestId> {
         if !self.pending_ids.insert(client_request_id.clone()) {
@@ -173,6 +174,11 @@
         self.metrics.count_excess_requests(count);
     }
 
+    /// Counts a message that was rejected for this reason.
+    pub(super) fn count_rejection(&mut self, reason: &'static str) {
+        self.metrics.count_rejection(reason);
+    }
+
     /// Returns the next final response to deliver.
     pub fn poll_response(&mut self) -> Option<UndeliveredResponse> {
         loop {
--- a/crates/node/src/proxy/upstream/exchange.rs
+++ b/crates/node/src/proxy/upstream/exchange.rs
@@ -85,7 +85,7 @@
         if attempt.request_bytes.is_none() && is_clean {
             let output = &mut upstream.connection.output;
             let time_left_ms = (attempt.response_deadline - now).0 / MICROS_PER_MILLI;
-            write_request(output, request.message(), time_left_ms);
+            write_request(output, request.message(), &upstream.address.to_string(), time_left_ms);
             attempt.request_bytes = Some(output.len());
         }
         Ok(())
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -2,6 +2,7 @@
 //! file descriptors.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 
 use granitelb_balancer::time::{Span, Time};
@@ -40,6 +41,12 @@
     }
 }
 
+impl fmt::Display for ConnectionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0 >> OWNER_BITS)
+    }
+}
+
 /// An event that epoll reports for a file descriptor.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadinessEvent {
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -44,7 +44,7 @@
 fn take_next(pipeline: &mut Pipeline, requests: &[SentRequest], taken: usize) -> usize {
     match pipeline.pop(3) {
         Some(PipelineEntry::Request { message, .. }) => {
-            assert_eq!(message.head.target, format!("/once/{taken}"));
+            assert_eq!(message.head.target.as_str(), format!("/once/{taken}"));
             assert_eq!(message.body.len(), requests[taken].body_bytes);
             taken + 1
         }
@@ -52,6 +52,7 @@
             assert!((1..=3).contains(&count));
             taken + count as usize
         }
+        Some(PipelineEntry::Defective { defect, .. }) => panic!("{defect}"),
         Some(PipelineEntry::Invalid(error)) => panic!("{error}"),
         None => taken,
     }
--- a/crates/node/tests/scenarios/harness/endpoints.rs
+++ b/crates/node/tests/scenarios/harness/endpoints.rs
@@ -129,6 +129,11 @@
         assert_eq!(*actual, expected, "{line}");
         let names = self.bound_names.values().filter(|bound| *bound == actual).count();
         assert!(names <= 1, "{line}: two upper-case names stand for endpoint {actual}");
+        if let Some(target) = option(options, "target") {
+            let start_line = attempt.request.head.lines().next();
+            let method = if option(options, "put").is_some() { "PUT" } else { "GET" };
+            assert_eq!(start_line, Some(&format!("{method} {target} HTTP/1.1")[..]), "{line}");
+        }
         let expected_body = option(options, "put").map_or(Vec::new(), unescape);
         assert_eq!(attempt.request.body, expected_body, "{line}");
         let left = header(&attempt.request.head, "x-timeout-ms").and_then(|ms| ms.parse().ok());
--- a/crates/node/tests/scenarios/in_process.rs
+++ b/crates/node/tests/scenarios/in_process.rs
@@ -12,6 +12,9 @@
 /// The largest number of positions at which a text is split.
 const MAX_SPLITS: usize = 2000;
 
+/// The status of the response to a complete message that is no valid request.
+const DEFECTIVE: u16 = 400;
+
 const CLOSE_REASONS: [CloseReason; 10] = [
     CloseReason::Refused,
     CloseReason::ConnectTimeout,
@@ -72,6 +75,9 @@
         input.push(part);
         loop {
             match decoder.next(&mut input) {
+                Ok(Some(message)) if message.head.defect.is_some() => {
+                    descriptions.push(DEFECTIVE.to_string());
+                }
                 Ok(Some(message)) => {
                     let keep_alive = if message.head.keep_alive { "keeps" } else { "ends" };
                     let start = match kind {
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -44,7 +44,8 @@
 //! Endpoints. An upper-case name stands for the endpoint at which the first attempt under this name arrives,
 //! `any` for any endpoint.
 //!
-//! - `attempt ENDPOINT ID [put=BODY] [left=MS]`: an attempt arrives, with at most MS milliseconds left.
+//! - `attempt ENDPOINT ID [put=BODY] [left=MS] [target=TARGET]`: an attempt arrives, with at most MS milliseconds
+//!   left and this target.
 //! - `reply ID STATUS [body=TEXT] [+ HEADER: VALUE]`, `reply-part ID TEXT`: answers the attempt,
 //!   or writes a part of the answer.
 //! - `reset-attempt ID`, `close-attempt ID`: ends the attempt's connection. `attempt-closed ID`: the node has
@@ -74,6 +75,7 @@
 mod harness;
 mod in_process;
 mod notation;
+mod sound_requests;
 
 use harness::Harness;
 use test_case::test_case;
@@ -135,6 +137,8 @@
 #[test_case(include_str!("slow-start.txt"); "slow_start")]
 #[test_case(include_str!("stable-placement.txt"); "stable_placement")]
 #[test_case(include_str!("unnamed-zones.txt"); "unnamed_zones")]
+#[test_case(include_str!("unsound-messages.txt"); "unsound_messages")]
+#[test_case(include_str!("unusual-messages.txt"); "unusual_messages")]
 #[test_case(include_str!("unreachable-discovery.txt"); "unreachable_discovery")]
 #[test_case(include_str!("watch-cut-off-list.txt"); "watch_cut_off_list")]
 #[test_case(include_str!("watch-first-heartbeat.txt"); "watch_first_heartbeat")]
--- a/crates/node/tests/upstream/fixture.rs
+++ b/crates/node/tests/upstream/fixture.rs
@@ -10,8 +10,10 @@
 };
 use granitelb_balancer::time::{Span, Time};
 use granitelb_balancer::{Attempt, AttemptOutcome, EndpointUpdate, Request};
-use granitelb_node::http::{Message, MessageHead};
-use granitelb_node::proxy::{FinalResponse, KnownEndpoint, RequestTable, TurnContext, Upstream};
+use granitelb_node::http::{Headers, Message, MessageHead, RequestTarget};
+use granitelb_node::proxy::{
+    ClientRequestId, FinalResponse, KnownEndpoint, RequestTable, TurnContext, Upstream,
+};
 use granitelb_node::transport::{ConnectionId, Owner, ReadinessEvent, Transport};
 
 const ENDPOINT: EndpointId = EndpointId(7);
@@ -127,8 +129,8 @@
         let number = self.last_request;
         let head = MessageHead {
             method: method.into(),
-            target: format!("/read/k{number}"),
-            headers: vec![("Host".into(), b"n".to_vec())],
+            target: RequestTarget::parse(&format!("/read/k{number}")).expect("a target"),
+            headers: Headers::from_iter([("Host", "n")]),
             ..MessageHead::default()
         };
         let request = Request {
@@ -138,7 +140,7 @@
             work: None,
             write: method != "GET",
         };
-        let client_request_id = format!("r{number}").into();
+        let client_request_id = ClientRequestId::parse(&format!("r{number}")).expect("an identifier");
         let message = Message { head, body };
         let inserted = self.requests.insert(self.client, request, client_request_id, message);
         let id = inserted.expect("an unused client request id");
