Hold the identifier of a request that must not be repeated after its client has left

Cause: `RequestTable::finish` freed the identifier with any final response, a disconnect among them, while the attempt may still run.

Held identifiers get 409, which promises nothing. They are bounded by a share of the memory limit; where no more can be held, such requests get 503 and nothing is forwarded.

Why it works: one table is passed by every request before it is forwarded, and what frees an identifier is proof that nothing ran, not the end of the client.

--- a/crates/node/src/proxy/attempt_end.rs
+++ b/crates/node/src/proxy/attempt_end.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Whether the endpoint may have executed the request, or may yet.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            AttemptEnd::Response(response) => {
+                !matches!(outcome_of_response(response), AttemptOutcome::CacheMiss | AttemptOutcome::Rejected)
+            }
+            AttemptEnd::NoResponse { progress, .. } => *progress == RequestProgress::FullyWritten,
+        }
+    }
+
     /// The response for the client, if the attempt fulfilled the request.
     pub fn into_final_response(self) -> Option<Message> {
         let is_fulfilled = self.outcome() == AttemptOutcome::Fulfilled;
--- a/crates/node/src/proxy/downstream/rejection.rs
+++ b/crates/node/src/proxy/downstream/rejection.rs
@@ -4,6 +4,7 @@
 
 use super::request_decoder::RequestError;
 use crate::http::{ParseError, RequestDefect};
+use crate::proxy::request_ids::RequestIdError;
 
 /// Why a message is answered with an error. Nothing is forwarded for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,8 +15,8 @@
     Defective(RequestDefect),
     /// The request violates the protocol between clients and nodes.
     NotServed(RequestError),
-    /// A request with the same identifier is pending.
-    RequestIdPending,
+    /// The request's identifier cannot be used.
+    RequestId(RequestIdError),
     /// The message was not complete in time.
     Incomplete,
     /// As many requests are pending as the node can hold.
@@ -32,9 +33,11 @@
             Rejection::Defective(_) => 400,
             Rejection::NotServed(error) => error.status(),
             // The request may have been executed, so that the response must not promise the opposite.
-            Rejection::RequestIdPending => 409,
+            Rejection::RequestId(RequestIdError::Pending | RequestIdError::Held) => 409,
             Rejection::Incomplete => 408,
-            Rejection::Overloaded | Rejection::Expired => 503,
+            Rejection::RequestId(RequestIdError::NoCapacity) | Rejection::Overloaded | Rejection::Expired => {
+                503
+            }
         }
     }
 
@@ -57,7 +60,9 @@
             Rejection::Unparsable(ParseError::BodyTooLarge) => "body-too-large",
             Rejection::Defective(defect) => defect.name(),
             Rejection::NotServed(error) => error.name(),
-            Rejection::RequestIdPending => "request-id-pending",
+            Rejection::RequestId(RequestIdError::Pending) => "request-id-pending",
+            Rejection::RequestId(RequestIdError::Held) => "request-id-held",
+            Rejection::RequestId(RequestIdError::NoCapacity) => "no-request-id-capacity",
             Rejection::Incomplete => "incomplete",
             Rejection::Overloaded => "overloaded",
             Rejection::Expired => "expired",
--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -97,8 +97,9 @@
             return self.reject(cx, id, Rejection::Expired);
         }
         let budget = request.client_timeout;
-        let Some(request_id) = cx.requests.insert(id, request, client_request_id, message) else {
-            return self.reject(cx, id, Rejection::RequestIdPending);
+        let request_id = match cx.requests.insert(cx.now, id, request, client_request_id, message) {
+            Ok(request_id) => request_id,
+            Err(error) => return self.reject(cx, id, Rejection::RequestId(error)),
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.state = ClientState::AwaitingResponse(request_id);
--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -21,6 +21,7 @@
 use super::downstream::Downstream;
 use super::endpoint_directory::EndpointDirectory;
 use super::observation_recorder::ObservationRecorder;
+use super::request_ids::RepeatPolicy;
 use super::request_table::RequestTable;
 use super::turn_context::TurnContext;
 use super::upstream::Upstream;
@@ -71,16 +72,20 @@
         let DecodedSettings { balancer_settings, names, client_timeouts, .. } = settings;
         let is_list_pushed = !balancer_settings.list_on_request;
         let retry_after = balancer_settings.max_retry_after;
+        let longest_client_timeout = longest(&client_timeouts);
+        let repeat_policy = RepeatPolicy::new(&balancer_settings, longest_client_timeout);
         let recorder = start_agent(&transport, control_plane_agent, &balancer_settings)?;
         let directory = EndpointDirectory::new(names.clone(), balancer_settings.only_draining_excludes);
         let balancer = Balancer::new(balancer_settings, seed, now);
         let mut requests = RequestTable::default();
         requests.set_load_report_header(reloadable.load_report_header);
+        requests.set_repeat_policy(repeat_policy);
+        requests.set_memory(limits.memory);
         let revision = known_endpoints.as_ref().map(|list| list.revision);
         let discovery = reloadable.discovery;
         let connect_timeout = reloadable.connect_timeout;
         let mut node = Node {
-            longest_client_timeout: longest(&client_timeouts),
+            longest_client_timeout,
             downstream: Downstream::new(DOWNSTREAM, limits, names, client_timeouts, retry_after),
             upstream: Upstream::new(UPSTREAM, connect_timeout, reloadable.keepalive),
             watch: DiscoveryWatch::new(DISCOVERY, discovery, connect_timeout, revision),
@@ -165,6 +170,7 @@
         self.reserved_connections = reserved_connections(limits.connections);
         self.upstream.set_timeouts(config.connect_timeout, config.keepalive);
         self.requests.set_load_report_header(config.load_report_header);
+        self.requests.set_memory(limits.memory);
         if let Some(settings) = config.settings {
             self.apply_settings(now, *settings);
         }
@@ -182,6 +188,8 @@
         );
         // `client_timeouts` includes former request classes, whose requests may still be in progress.
         self.longest_client_timeout = longest(&client_timeouts);
+        let repeat_policy = RepeatPolicy::new(&balancer_settings, self.longest_client_timeout);
+        self.requests.set_repeat_policy(repeat_policy);
         self.downstream.on_settings_update(names.clone(), client_timeouts, balancer_settings.max_retry_after);
         self.driver.on_settings_update(now, balancer_settings, names);
     }
--- /dev/null
+++ b/crates/node/src/proxy/request_ids.rs
@@ -0,0 +1,196 @@
+//! The clients' request identifiers that are in use, and those that must not be used again for some time.
+//!
+//! A cache server may execute a request after its client has disconnected or was answered. If the client sends
+//! the request again under the same identifier, it would be executed a second time. So the identifier of a request
+//! that must not be repeated is held as soon as the request is accepted, and is released only if no cache server
+//! can have executed the request.
+//!
+//! Invariants: an identifier is used by at most one pending request; a held identifier is not forgotten before
+//! its time, however many there are: a request whose identifier can't be held is not accepted.
+
+use std::collections::hash_map::RandomState;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::hash::BuildHasher;
+
+use granitelb_balancer::ids::{RequestClassId, RequestId};
+use granitelb_balancer::settings::{Effect, Settings};
+use granitelb_balancer::time::{Span, Time};
+
+use super::client_request_id::ClientRequestId;
+
+/// The share of the memory limit that held identifiers may take.
+const MEMORY_DIVISOR: usize = 64;
+/// The memory that a held identifier takes at most, in bytes: an entry of the map and one of the queue, both with
+/// the capacity that is reserved for growth.
+const BYTES_PER_HELD_ID: usize = 96;
+const MIN_HELD_IDS: usize = 256;
+const MAX_HELD_IDS: usize = 65_536;
+/// An identifier is held for this many times the longest client timeout. A client waits that long in all, and
+/// the request that it sends last may be pending for as long again.
+const HOLD_TIMEOUTS: u64 = 2;
+
+/// Why an identifier cannot be used by a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestIdError {
+    /// A request with this identifier is pending.
+    Pending,
+    /// A request with this identifier must not be repeated, and may have been executed.
+    Held,
+    /// The request must not be repeated, and no further identifier can be held now.
+    NoCapacity,
+}
+
+/// Which request classes may be repeated, and how long the identifiers of the others are held.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatPolicy {
+    /// Whether requests may be repeated, by request class.
+    is_repeatable: Vec<bool>,
+    hold_time: Span,
+}
+
+impl RepeatPolicy {
+    /// Derives the policy from the settings and the longest client timeout of all classes. Requests whose
+    /// repeats are dropped only in a group and for a time are not repeatable under all circumstances, so that
+    /// their identifiers are held too.
+    pub fn new(settings: &Settings, longest_client_timeout: Span) -> RepeatPolicy {
+        let is_repeatable = settings.request_classes.iter().map(|class| class.effect == Effect::Idempotent);
+        RepeatPolicy {
+            is_repeatable: is_repeatable.collect(),
+            hold_time: Span(longest_client_timeout.0.saturating_mul(HOLD_TIMEOUTS)),
+        }
+    }
+
+    fn is_repeatable(&self, class: RequestClassId) -> bool {
+        self.is_repeatable.get(usize::from(class.0)).copied().unwrap_or(false)
+    }
+}
+
+/// A held identifier, in the order in which the requests were accepted.
+struct HeldId {
+    hash: u64,
+    request: RequestId,
+    held_until: Time,
+}
+
+/// The identifiers that are in use or held.
+pub(super) struct RequestIds {
+    pending: HashSet<ClientRequestId>,
+    /// The requests that hold an identifier, by the identifier's hash. Hashes bound the memory, whatever the
+    /// length of the identifiers. Identifiers with the same hash count as the same, which refuses a request and
+    /// never repeats one.
+    held: HashMap<u64, RequestId>,
+    /// All entries of `held`, and entries whose identifier was released.
+    order: VecDeque<HeldId>,
+    hasher: RandomState,
+    policy: RepeatPolicy,
+    capacity: usize,
+}
+
+impl Default for RequestIds {
+    fn default() -> RequestIds {
+        RequestIds {
+            pending: HashSet::new(),
+            held: HashMap::new(),
+            order: VecDeque::new(),
+            hasher: RandomState::new(),
+            policy: RepeatPolicy::default(),
+            capacity: MIN_HELD_IDS,
+        }
+    }
+}
+
+impl RequestIds {
+    /// Sets the policy for requests that are accepted from now on.
+    pub(super) fn set_policy(&mut self, policy: RepeatPolicy) {
+        self.policy = policy;
+    }
+
+    /// Sets the memory limit of the node, in bytes, from which the number of held identifiers is derived.
+    pub(super) fn set_memory(&mut self, bytes: usize) {
+        let capacity = bytes / MEMORY_DIVISOR / BYTES_PER_HELD_ID;
+        self.capacity = capacity.clamp(MIN_HELD_IDS, MAX_HELD_IDS);
+    }
+
+    /// The number of identifiers of pending requests.
+    pub(super) fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Records that a request with this identifier is pending.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the identifier is in use or held, or if it would have to be held and there is no capacity.
+    pub(super) fn insert(
+        &mut self,
+        now: Time,
+        id: &ClientRequestId,
+        request: RequestId,
+        class: RequestClassId,
+    ) -> Result<(), RequestIdError> {
+        if self.pending.contains(id) {
+            return Err(RequestIdError::Pending);
+        }
+        let hash = self.hasher.hash_one(id);
+        if self.held.contains_key(&hash) {
+            return Err(RequestIdError::Held);
+        }
+        if !self.policy.is_repeatable(class) {
+            self.hold(now, hash, request)?;
+        }
+        self.pending.insert(id.clone());
+        Ok(())
+    }
+
+    fn hold(&mut self, now: Time, hash: u64, request: RequestId) -> Result<(), RequestIdError> {
+        self.forget_released();
+        while self.held.len() >= self.capacity {
+            if !self.forget_oldest(now) {
+                return Err(RequestIdError::NoCapacity);
+            }
+        }
+        self.held.insert(hash, request);
+        self.order.push_back(HeldId { hash, request, held_until: now + self.policy.hold_time });
+        Ok(())
+    }
+
+    /// Forgets the oldest entry, and returns whether its time was over.
+    fn forget_oldest(&mut self, now: Time) -> bool {
+        let Some(oldest) = self.order.front() else { return false };
+        if now < oldest.held_until {
+            return false;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.remove_held(oldest.hash, oldest.request);
+        }
+        true
+    }
+
+    /// Removes entries of released identifiers once they are as many as may be held.
+    fn forget_released(&mut self) {
+        if self.order.len() >= self.held.len() + self.capacity {
+            self.order.retain(|entry| self.held.get(&entry.hash) == Some(&entry.request));
+        }
+    }
+
+    fn remove_held(&mut self, hash: u64, request: RequestId) {
+        if self.held.get(&hash) == Some(&request) {
+            self.held.remove(&hash);
+        }
+    }
+
+    /// Records that the request with this identifier has its final response. If it must not be repeated, its
+    /// identifier stays held.
+    pub(super) fn on_finished(&mut self, id: &ClientRequestId) {
+        self.pending.remove(id);
+    }
+
+    /// Releases the identifier of a request that no cache server can have executed, or will.
+    pub(super) fn release(&mut self, id: &ClientRequestId, request: RequestId) {
+        let hash = self.hasher.hash_one(id);
+        self.remove_held(hash, request);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -4,7 +4,7 @@
 //! response; [`RequestTable::finish`] accepts only the first final response of a request. A request stays in
 //! the table until its response was collected and its last attempt has ended.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use granitelb_balancer::ids::{AttemptNumber, EndpointId, RequestId};
 use granitelb_balancer::time::{Span, Time};
@@ -14,6 +14,7 @@
 use super::client_request_id::ClientRequestId;
 use super::final_response::FinalResponse;
 use super::load_report::parse_load_report;
+use super::request_ids::{RepeatPolicy, RequestIdError, RequestIds};
 use super::request_metrics::RequestMetrics;
 use crate::http::Message;
 use crate::transport::ConnectionId;
@@ -45,6 +46,8 @@
     client_request_id: ClientRequestId,
     attempts_started: u8,
     attempts_in_flight: usize,
+    /// The attempts that were written to a connection and may have executed the request, or may yet.
+    effective_attempts: Vec<AttemptNumber>,
     missed_in_cache: bool,
     response: ResponseState,
 }
@@ -74,6 +77,11 @@
         matches!(self.response, ResponseState::Pending)
     }
 
+    /// Whether the request has its final response and no endpoint has executed it, or will.
+    fn has_never_run(&self) -> bool {
+        !self.is_pending() && self.effective_attempts.is_empty()
+    }
+
     fn may_be_disconnected(&self, now: Time) -> bool {
         self.client_unread_since.is_some_and(|since| now - since >= MAX_UNREAD_TIME)
     }
@@ -110,8 +118,8 @@
 #[derive(Default)]
 pub struct RequestTable {
     requests: HashMap<RequestId, ActiveRequest>,
-    /// The client's identifiers of the requests that wait for their final response.
-    pending_ids: HashSet<ClientRequestId>,
+    /// The clients' identifiers that are in use or held.
+    ids: RequestIds,
     last_id: u64,
     arrived: VecDeque<RequestId>,
     disconnected: VecDeque<RequestId>,
@@ -124,21 +132,24 @@
 
 /// For the downstream side.
 impl RequestTable {
-    /// Adds a request and returns its identifier; `None` if a request of any client with the same
-    /// `client_request_id` is pending. Endpoints could not tell the two requests apart, and the later one
-    /// would disturb the earlier one.
+    /// Adds a request that has arrived at `now`, and returns its identifier.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a request of any client with the same `client_request_id` is pending: endpoints could not tell
+    /// the two requests apart. Fails also if that request must not be repeated and may have been executed, or
+    /// if this one must not be repeated and its identifier cannot be held.
     pub fn insert(
         &mut self,
+        now: Time,
         client: ConnectionId,
         request: Request,
         client_request_id: ClientRequestId,
         message: Message,
-    ) -> Option<RequestId> {
-        if !self.pending_ids.insert(client_request_id.clone()) {
-            return None;
-        }
-        self.last_id += 1;
-        let id = RequestId(self.last_id);
+    ) -> Result<RequestId, RequestIdError> {
+        let id = RequestId(self.last_id + 1);
+        self.ids.insert(now, &client_request_id, id, request.request_class)?;
+        self.last_id = id.0;
         let active = ActiveRequest {
             client,
             client_unread_since: None,
@@ -147,12 +158,13 @@
             client_request_id,
             attempts_started: 0,
             attempts_in_flight: 0,
+            effective_attempts: Vec::new(),
             missed_in_cache: false,
             response: ResponseState::Pending,
         };
         self.requests.insert(id, active);
         self.arrived.push_back(id);
-        Some(id)
+        Ok(id)
     }
 
     /// Records that the client of a request has disconnected and gets no response.
@@ -224,6 +236,13 @@
         }
     }
 
+    /// Records that the request of an attempt was handed to a connection, which may send all of it from now on.
+    pub(super) fn on_attempt_written(&mut self, id: RequestId, number: AttemptNumber) {
+        if let Some(active) = self.requests.get_mut(&id) {
+            active.effective_attempts.push(number);
+        }
+    }
+
     /// Records the end of an attempt. If the attempt fulfilled the request, its response becomes the final
     /// one unless there already is a final response.
     pub fn on_attempt_end(
@@ -237,12 +256,16 @@
         let load_report = self.read_load_report(&end);
         let response_bytes = end.body_bytes();
         let outcome = end.outcome();
+        let may_have_run = end.may_have_run();
         if let Some(response) = end.into_final_response() {
             self.finish(id, FinalResponse::Upstream(response));
         }
         self.metrics.count_attempt(outcome);
         let Some(active) = self.requests.get_mut(&id) else { return };
         active.attempts_in_flight = active.attempts_in_flight.saturating_sub(1);
+        if !may_have_run {
+            active.effective_attempts.retain(|effective| *effective != number);
+        }
         active.missed_in_cache |= outcome == AttemptOutcome::CacheMiss;
         let answered = !active.is_pending();
         let result = AttemptResult { number, endpoint, outcome, latency, answered };
@@ -252,6 +275,7 @@
             response_bytes,
             load_report,
         });
+        self.release_if_never_run(id);
         self.remove_if_finished(id);
     }
 
@@ -266,6 +290,19 @@
     }
 }
 
+/// For the node.
+impl RequestTable {
+    /// Sets which requests may be repeated, for requests that arrive from now on.
+    pub fn set_repeat_policy(&mut self, policy: RepeatPolicy) {
+        self.ids.set_policy(policy);
+    }
+
+    /// Sets the memory limit of the node in bytes, of which held identifiers may take a share.
+    pub(super) fn set_memory(&mut self, bytes: usize) {
+        self.ids.set_memory(bytes);
+    }
+}
+
 /// For the balancer driver.
 impl RequestTable {
     /// Sets the response header that carries load reports.
@@ -315,9 +352,10 @@
             return false;
         }
         self.metrics.count_response(&response);
-        self.pending_ids.remove(&active.client_request_id);
+        self.ids.on_finished(&active.client_request_id);
         active.response = ResponseState::Ready(response);
         self.undelivered.push_back(id);
+        self.release_if_never_run(id);
         true
     }
 
@@ -335,7 +373,7 @@
 
     /// The number of requests that wait for their final response.
     pub fn pending_count(&self) -> usize {
-        self.pending_ids.len()
+        self.ids.pending_count()
     }
 
     /// Returns the metrics since the last call, and resets them.
@@ -343,6 +381,14 @@
         std::mem::take(&mut self.metrics)
     }
 
+    fn release_if_never_run(&mut self, id: RequestId) {
+        if let Some(active) = self.requests.get(&id)
+            && active.has_never_run()
+        {
+            self.ids.release(&active.client_request_id, id);
+        }
+    }
+
     fn remove_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(ActiveRequest::is_finished) {
             self.requests.remove(&id);
--- a/crates/node/src/proxy/upstream/exchange.rs
+++ b/crates/node/src/proxy/upstream/exchange.rs
@@ -87,6 +87,7 @@
             let time_left_ms = (attempt.response_deadline - now).0 / MICROS_PER_MILLI;
             write_request(output, request.message(), &upstream.address.to_string(), time_left_ms);
             attempt.request_bytes = Some(output.len());
+            requests.on_attempt_written(attempt.id.request, attempt.id.number);
         }
         Ok(())
     }
--- a/crates/node/tests/upstream/fixture.rs
+++ b/crates/node/tests/upstream/fixture.rs
@@ -142,7 +142,7 @@
         };
         let client_request_id = ClientRequestId::parse(&format!("r{number}")).expect("an identifier");
         let message = Message { head, body };
-        let inserted = self.requests.insert(self.client, request, client_request_id, message);
+        let inserted = self.requests.insert(self.now, self.client, request, client_request_id, message);
         let id = inserted.expect("an unused client request id");
         let attempt_number = self.requests.start_attempt(id).expect("a pending request");
         let attempt = Attempt {
