Keep all clients together under half of the memory limit

Cause: each client had a bound and the sum had none, since the excess clients came on top of those that `memory_mb` bounded; and lengths were counted, not what was allocated.

Change: `MemoryBudget` owns the sum for clients, their input, and requests in progress, from half of the limit less 5 MiB for the program. Input in excess gets 429 in its turn, an incomplete head 503, a request that finds no room 503; nothing forwarded is given up. Capacities are counted with the allocator's overhead. Buffers release what they don't use; a body's capacity never exceeds the largest body; a request that has its response gives up its message. `limits.memory_mb` under 16 is refused by name with the least value.

--- a/crates/node/src/cli/config/file.rs
+++ b/crates/node/src/cli/config/file.rs
@@ -27,6 +27,8 @@
 /// Smallest number of file descriptors of a node. With fewer, the descriptors that the node needs for itself
 /// would leave none for clients and endpoints.
 const MIN_DESCRIPTORS: u64 = 40;
+/// Smallest memory limit in MiB: half of it holds the program and some requests with long bodies.
+const MIN_MEMORY_MB: u64 = 16;
 const SEED_RADIX: u32 = 16;
 
 /// The keys of the configuration file.
@@ -82,6 +84,7 @@
         let file: ConfigFile<'_> = granitelb_settings::parse_json(text.as_bytes())?;
         let settings = decode_settings(file.settings)?;
         validate_load_header(file.load_header.as_deref())?;
+        validate_memory(file.limits.max_memory_mb)?;
         let known_endpoints = match file.known_endpoints {
             Some(list) => Some(
                 EndpointListUpdate::from_value(list)
@@ -184,6 +187,19 @@
     Ok(limit)
 }
 
+/// Checks that the memory limit leaves memory for clients.
+fn validate_memory(configured: Option<u64>) -> Result<(), SettingsError> {
+    match configured {
+        Some(limit) if limit < MIN_MEMORY_MB => {
+            let reason = format!(
+                "{limit} MiB do not suffice for the program and its clients; allow at least {MIN_MEMORY_MB}"
+            );
+            Err(error_at("limits.memory_mb", reason))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// The address in the file, or in an environment variable if the file omits the key.
 fn address(
     key: &str,
--- a/crates/node/src/http/headers.rs
+++ b/crates/node/src/http/headers.rs
@@ -1,5 +1,7 @@
 //! The headers of a message, in compact form.
 
+use super::heap_size::allocation_bytes;
+
 /// The headers of a message in the order in which they were received.
 ///
 /// All names share one allocation and all values another: each header by itself would take several times its
@@ -52,7 +54,9 @@
 
     /// The allocated memory, in bytes.
     pub(super) fn allocated_bytes(&self) -> usize {
-        self.names.capacity() + self.values.capacity() + self.ends.capacity() * size_of::<FieldEnd>()
+        allocation_bytes(self.names.capacity())
+            + allocation_bytes(self.values.capacity())
+            + allocation_bytes(self.ends.capacity() * size_of::<FieldEnd>())
     }
 }
 
--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use super::headers::Headers;
+use super::heap_size::allocation_bytes;
 use super::request_defect::RequestDefect;
 use super::request_target::RequestTarget;
 use super::syntax::trim_whitespace;
@@ -93,7 +94,9 @@
 
     /// The memory that the head has allocated, in bytes.
     pub(super) fn allocated_bytes(&self) -> usize {
-        self.method.capacity() + self.target.allocated_bytes() + self.headers.allocated_bytes()
+        allocation_bytes(self.method.capacity())
+            + self.target.allocated_bytes()
+            + self.headers.allocated_bytes()
     }
 
     fn is_hop_by_hop(&self, name: &str) -> bool {
@@ -114,7 +117,7 @@
 impl Message {
     /// The memory that the message has allocated, in bytes.
     pub fn allocated_bytes(&self) -> usize {
-        self.head.allocated_bytes() + self.body.capacity()
+        self.head.allocated_bytes() + allocation_bytes(self.body.capacity())
     }
 }
 
--- a/crates/node/src/http/message_decoder.rs
+++ b/crates/node/src/http/message_decoder.rs
@@ -44,12 +44,16 @@
         self.incomplete.as_ref().map(|incomplete| &incomplete.message.head)
     }
 
-    /// The memory that the body of the incomplete message takes, in bytes, including what is reserved for the
-    /// bytes that it announces.
-    pub fn incomplete_body_bytes(&self) -> usize {
-        self.incomplete
-            .as_ref()
-            .map_or(0, |incomplete| incomplete.message.body.capacity().min(MAX_BODY_BYTES))
+    /// The memory that the head of the incomplete message has allocated, in bytes.
+    pub fn head_bytes(&self) -> usize {
+        self.parser.allocated_bytes() + self.head().map_or(0, MessageHead::allocated_bytes)
+    }
+
+    /// The memory that the incomplete message has allocated, in bytes, including what is reserved for the bytes
+    /// that it announces.
+    pub fn allocated_bytes(&self) -> usize {
+        let message = self.incomplete.as_ref().map(|incomplete| &incomplete.message);
+        self.parser.allocated_bytes() + message.map_or(0, Message::allocated_bytes)
     }
 
     /// Discards the body of the incomplete message, also the part that has yet to be read. The message is
@@ -127,8 +131,18 @@
             return Err(ParseError::BodyTooLarge);
         }
         if !incomplete.discards_body {
+            reserve_for(&mut incomplete.message.body, bytes.len());
             incomplete.message.body.extend(bytes);
         }
         Ok(())
     }
 }
+
+/// Reserves memory for more bytes of a body. The capacity doubles, but exceeds the largest body at no time.
+fn reserve_for(body: &mut Vec<u8>, count: usize) {
+    let needed = body.len() + count;
+    if needed > body.capacity() {
+        let capacity = needed.max((2 * body.capacity()).min(MAX_BODY_BYTES));
+        body.reserve_exact(capacity - body.len());
+    }
+}
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 mod endpoint_list;
 mod headers;
+mod heap_size;
 mod message;
 mod message_decoder;
 mod parser;
--- a/crates/node/src/http/parser.rs
+++ b/crates/node/src/http/parser.rs
@@ -5,6 +5,7 @@
 //! message ends, so that nothing behind it can be read. A request whose end is certain is parsed to its end, and
 //! [`MessageHead::defect`] says what else is wrong with it.
 
+use super::heap_size::allocation_bytes;
 use super::message::{MessageHead, MessageKind, ParseError};
 use super::request_validation::validate_request;
 use super::syntax::{
@@ -93,6 +94,11 @@
         }
     }
 
+    /// The memory that the incomplete head has allocated, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        self.head.allocated_bytes() + allocation_bytes(self.target.capacity())
+    }
+
     /// Whether the parser is between two messages: the next element is a start line.
     pub fn is_between_messages(&self) -> bool {
         self.state == State::StartLine
--- a/crates/node/src/http/request_target.rs
+++ b/crates/node/src/http/request_target.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use super::heap_size::allocation_bytes;
 use super::request_defect::RequestDefect;
 use super::syntax::{HostAndPort, is_path_and_query};
 
@@ -73,7 +74,7 @@
 
     /// The allocated memory, in bytes.
     pub(super) fn allocated_bytes(&self) -> usize {
-        self.path_and_query.len()
+        allocation_bytes(self.path_and_query.len())
     }
 }
 
--- a/crates/node/src/proxy/downstream/advance.rs
+++ b/crates/node/src/proxy/downstream/advance.rs
@@ -1,11 +1,12 @@
 //! Reads from clients' connections and writes to them, and gives each request its turn.
 
-use granitelb_balancer::time::Span;
+use granitelb_balancer::time::{Span, Time};
 
 use super::client::ClientState;
+use super::memory_budget::ClientMemory;
 use super::pipeline::{Pipeline, PipelineEntry};
 use super::rejection::Rejection;
-use super::{Downstream, MAX_READS_PER_TURN, MESSAGE_TIMEOUT, WRITE_TIMEOUT};
+use super::{Downstream, MESSAGE_TIMEOUT, WRITE_TIMEOUT};
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{CloseReason, ConnectionId};
 
@@ -17,30 +18,24 @@
 /// The most reads that discard the input of a client which has disconnected: together they take more than the
 /// system buffers for a connection. A close with unread input would reset the connection.
 const MAX_DISCARDING_READS: usize = 512;
-/// The most rejections of requests in excess that are written at once, and how often that is done in a turn.
+/// The most rejections of requests in excess that are written at once.
 const MAX_EXCESS_REPLIES: u64 = 64;
-const MAX_EXCESS_WRITES_PER_TURN: usize = 16;
-
-/// What had its turn on a connection.
-enum Taken {
-    /// Requests in excess, which were rejected.
-    Excess,
-    /// A request, invalid input, or a client that waits for `100 Continue`.
-    Other,
-    /// Nothing: the node waits for more input.
-    Nothing,
-}
+/// The most messages of one client that are taken in a turn, where rejections that are written at once count as
+/// one. The other clients have their turns in between.
+const MAX_MESSAGES_PER_TURN: usize = 16;
+/// After this time a client whose messages were not all answered has its next turn.
+const NEXT_TURN_DELAY: Span = Span(1);
 
 impl Downstream {
     /// Receives what the operating system has buffered for a connection, including its end, and handles it.
-    /// Returns whether everything was received within [`MAX_READS_PER_TURN`].
+    /// Returns whether everything was received within the reads of a turn.
     ///
     /// A request and the end of its connection may arrive together. The end follows the request, so the rest
     /// of the input is read before the request has its turn: otherwise the request would be forwarded for a
     /// client that has disconnected.
     pub(super) fn receive_and_advance(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> bool {
+        let Some(has_received_all) = self.receive(cx.now, id) else { return true };
         let Some(client) = self.clients.get_mut(&id) else { return true };
-        let has_received_all = client.receive(cx.now, MAX_READS_PER_TURN);
         if !has_received_all && client.connection.is_end_reported() {
             // The client has disconnected: the end stands behind what was not read yet.
             client.discard_input(MAX_DISCARDING_READS);
@@ -54,6 +49,24 @@
         has_received_all
     }
 
+    /// Receives and decodes what the operating system has buffered for a client, within the memory that is left.
+    /// Returns whether everything was received; `None` if there is no such client.
+    pub(super) fn receive(&mut self, now: Time, id: ConnectionId) -> Option<bool> {
+        let client = self.clients.get_mut(&id)?;
+        let limits = self.memory.read_ahead_limits(client.counted);
+        let has_received_all = client.receive(now, limits);
+        self.count_memory(id);
+        Some(has_received_all)
+    }
+
+    /// Counts the memory that a client takes now in the budget of all clients.
+    pub(super) fn count_memory(&mut self, id: ConnectionId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let memory = client.memory();
+        let before = std::mem::replace(&mut client.counted, memory);
+        self.memory.update(before, memory);
+    }
+
     pub(super) fn begin_writing(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, keep_alive: bool) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.state = ClientState::WritingResponse { keep_alive };
@@ -62,8 +75,8 @@
 
     /// Writes pending output and handles received data, as far as the connection allows now.
     pub(super) fn advance(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
-        let mut excess_writes = 0;
-        while excess_writes < MAX_EXCESS_WRITES_PER_TURN {
+        let mut taken = 0;
+        loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
             if let Err(reason) = client.connection.flush() {
                 return self.close(cx, id, reason);
@@ -79,44 +92,38 @@
                 }
                 ClientState::Lingering | ClientState::AwaitingResponse(_) => break,
                 ClientState::Reading if client.reads_on_until(cx.now).is_some() => break,
-                ClientState::Reading => match self.take_next(cx, id) {
-                    Taken::Excess => excess_writes += 1,
-                    Taken::Other => {}
-                    Taken::Nothing => break,
-                },
+                ClientState::Reading if taken == MAX_MESSAGES_PER_TURN => break,
+                ClientState::Reading => {
+                    if !self.take_next(cx, id) {
+                        break;
+                    }
+                    taken += 1;
+                }
             }
         }
         self.finish_advance(cx, id);
     }
 
-    /// Handles what has its turn next on a connection.
-    fn take_next(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> Taken {
-        let Some(client) = self.clients.get_mut(&id) else { return Taken::Nothing };
+    /// Handles what has its turn next on a connection, and returns whether there was something.
+    fn take_next(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return false };
         match client.pipeline.pop(MAX_EXCESS_REPLIES) {
             // The client has sent faster than the node reads for too long.
             Some(PipelineEntry::Request { .. }) if !client.connection.is_drained() => {
                 self.reject_excess(cx, id, 1);
-                Taken::Excess
             }
             Some(PipelineEntry::Request { message, arrived_at }) => {
                 self.on_message(cx, id, message, arrived_at);
-                Taken::Other
-            }
-            Some(PipelineEntry::Excess { count }) => {
-                self.reject_excess(cx, id, count);
-                Taken::Excess
             }
+            Some(PipelineEntry::Excess { count }) => self.reject_excess(cx, id, count),
             Some(PipelineEntry::Defective { defect, keep_alive }) => {
                 self.on_defective_message(cx, id, defect, keep_alive);
-                Taken::Other
-            }
-            Some(PipelineEntry::Invalid(error)) => {
-                self.reject(cx, id, Rejection::Unparsable(error));
-                Taken::Other
             }
-            None if client.send_continue_if_expected() => Taken::Other,
-            None => Taken::Nothing,
+            Some(PipelineEntry::OutOfMemory) => self.reject(cx, id, Rejection::Overloaded),
+            Some(PipelineEntry::Invalid(error)) => self.reject(cx, id, Rejection::Unparsable(error)),
+            None => return client.send_continue_if_expected(),
         }
+        true
     }
 
     /// Closes a connection that has ended. Otherwise sets its timers if the node reads from it, and registers
@@ -131,6 +138,7 @@
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.connection.update_interest(cx.transport);
+        self.count_memory(id);
     }
 
     fn set_reading_timers(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) {
@@ -138,7 +146,12 @@
         if !client.is_idle() {
             cx.transport.mark_busy(id);
             // The first byte of a message sets the timer, and later bytes that trickle in do not postpone it.
-            let timeout = client.reads_on_until(cx.now).unwrap_or(cx.now + MESSAGE_TIMEOUT);
+            let timeout = match client.reads_on_until(cx.now) {
+                Some(deadline) => deadline,
+                // Not everything that has its turn was handled.
+                None if !client.pipeline.is_empty() => cx.now + NEXT_TURN_DELAY,
+                None => cx.now + MESSAGE_TIMEOUT,
+            };
             cx.transport.timers.set_earlier(id, timeout);
         } else if self.closes_idle {
             // The client's last response was begun before the shutdown and did not announce the close.
@@ -167,6 +180,7 @@
     pub(super) fn close(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, reason: CloseReason) {
         let Some(client) = self.clients.remove(&id) else { return };
         self.evict_first.remove(id);
+        self.memory.update(client.counted, ClientMemory::default());
         if let ClientState::AwaitingResponse(request) = client.state {
             cx.requests.on_client_disconnect(request);
         }
--- a/crates/node/src/proxy/downstream/client.rs
+++ b/crates/node/src/proxy/downstream/client.rs
@@ -3,9 +3,13 @@
 use granitelb_balancer::ids::RequestId;
 use granitelb_balancer::time::{Span, Time};
 
-use super::pipeline::Pipeline;
+use super::memory_budget::ClientMemory;
+use super::pipeline::{Pipeline, ReadAheadLimits};
 use crate::transport::Connection;
 
+/// The most reads from a connection in one turn. Each read fills the input buffer; together they take more
+/// than a message of the maximum length.
+const MAX_READS_PER_TURN: usize = 8;
 /// How long a request waits at most while its client sends faster than the node reads.
 const MAX_UNREAD_DELAY: Span = Span::from_millis(250);
 /// How long a request waits at most for the rest of an incomplete message behind it. The rest is on its way,
@@ -43,6 +47,10 @@
     pub(super) keep_alive: bool,
     /// Whether no complete message has arrived yet.
     pub(super) is_new: bool,
+    /// What is reserved for the request in progress, in bytes.
+    pub(super) reserved_bytes: usize,
+    /// The memory of the client that the budget of all clients contains.
+    pub(super) counted: ClientMemory,
     /// Since when the input has not been read whole; `None` if it has.
     unread_since: Option<Time>,
 }
@@ -58,6 +66,8 @@
             sent_continue: false,
             keep_alive: true,
             is_new: true,
+            reserved_bytes: 0,
+            counted: ClientMemory::default(),
             unread_since: None,
         }
     }
@@ -74,12 +84,21 @@
         matches!(self.state, ClientState::Lingering)
     }
 
-    /// Receives and decodes what the operating system has buffered, with at most `max_reads` reads. Returns
-    /// whether everything was received.
-    pub(super) fn receive(&mut self, now: Time, max_reads: usize) -> bool {
-        for _ in 0..max_reads {
+    /// The memory that the client takes now.
+    pub(super) fn memory(&self) -> ClientMemory {
+        let response = match self.state {
+            ClientState::AwaitingResponse(_) => self.reserved_bytes,
+            _ => self.connection.output.capacity(),
+        };
+        ClientMemory { input: self.pipeline.memory_bytes() + self.connection.input.capacity(), response }
+    }
+
+    /// Receives and decodes what the operating system has buffered, with at most [`MAX_READS_PER_TURN`] reads, and
+    /// holds what the limits allow. Returns whether everything was received.
+    pub(super) fn receive(&mut self, now: Time, limits: ReadAheadLimits) -> bool {
+        for _ in 0..MAX_READS_PER_TURN {
             self.connection.receive();
-            self.decode(now);
+            self.decode(now, limits);
             if self.connection.is_drained() {
                 break;
             }
@@ -112,11 +131,11 @@
     }
 
     /// Decodes the received input. The input of a lingering client is discarded.
-    fn decode(&mut self, now: Time) {
+    fn decode(&mut self, now: Time, limits: ReadAheadLimits) {
         if self.is_lingering() {
             self.connection.input.clear();
         } else {
-            self.pipeline.decode(&mut self.connection.input, now);
+            self.pipeline.decode(&mut self.connection.input, now, limits);
         }
     }
 
--- a/crates/node/src/proxy/downstream/client_limits.rs
+++ b/crates/node/src/proxy/downstream/client_limits.rs
@@ -1,7 +1,5 @@
 //! Limits on the number of clients, derived from the resources that the node may use.
 
-use super::pipeline::READ_AHEAD_BYTES;
-
 /// The share of descriptors for served clients. The rest is enough for an attempt of each request, and for
 /// some attempts of finished requests that are still in flight.
 const SERVED_CLIENTS_SHARE: f64 = 0.4;
@@ -10,12 +8,8 @@
 const EXCESS_CLIENTS_SHARE: f64 = 0.1;
 /// When clients use more than this share of descriptors, clients that have been idle for long are closed.
 const IDLE_CLIENTS_SHARE: f64 = 0.2;
-/// The share of memory that clients may use.
-const MEMORY_SHARE: f64 = 0.75;
-/// The memory in bytes that one client may use: its input buffer, the requests that it has sent ahead, and
-/// four bodies of the maximum length (in its request, in the request to an endpoint, in the endpoint's
-/// response, and in the response to the client).
-const BYTES_PER_CLIENT: usize = READ_AHEAD_BYTES + (16 + 4 * 64) * 1024;
+/// The share of excess clients among those that the memory allows.
+const EXCESS_MEMORY_SHARE: f64 = 0.2;
 
 /// The resources that a node may use.
 #[derive(Clone, Copy, Debug)]
@@ -38,14 +32,15 @@
 }
 
 impl ClientLimits {
-    /// Derives the limits from these resources. Each limit is at least one.
-    pub(super) fn within(resources: ResourceLimits) -> ClientLimits {
-        let share = |share: f64| ((resources.connections as f64 * share) as usize).max(1);
-        let by_memory = (resources.memory as f64 * MEMORY_SHARE) as usize / BYTES_PER_CLIENT;
+    /// Derives the limits from the number of descriptors for connections, and the number of clients that the
+    /// memory allows. Each limit is at least one.
+    pub(super) fn within(connections: usize, max_clients: usize) -> ClientLimits {
+        let share = |total: usize, share: f64| ((total as f64 * share) as usize).max(1);
         ClientLimits {
-            served: share(SERVED_CLIENTS_SHARE).min(by_memory.max(1)),
-            excess: share(EXCESS_CLIENTS_SHARE),
-            idle: share(IDLE_CLIENTS_SHARE),
+            served: share(connections, SERVED_CLIENTS_SHARE)
+                .min(share(max_clients, 1.0 - EXCESS_MEMORY_SHARE)),
+            excess: share(connections, EXCESS_CLIENTS_SHARE).min(share(max_clients, EXCESS_MEMORY_SHARE)),
+            idle: share(connections, IDLE_CLIENTS_SHARE),
         }
     }
 }
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -8,6 +8,7 @@
 mod advance;
 mod client;
 mod client_limits;
+mod memory_budget;
 mod pipeline;
 mod rejection;
 mod request_attributes;
@@ -23,7 +24,8 @@
 use self::client::{Client, ClientState};
 use self::client_limits::ClientLimits;
 pub(super) use self::client_limits::ResourceLimits;
-pub use self::pipeline::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
+use self::memory_budget::MemoryBudget;
+pub use self::pipeline::{Pipeline, PipelineEntry, READ_AHEAD_BYTES, ReadAheadLimits};
 use self::rejection::Rejection;
 use self::request_decoder::RequestDecoder;
 use self::requests::write_with_retry_after;
@@ -46,10 +48,6 @@
 /// connected, and a lingering client this long after its last response. Both are evicted before clients that
 /// may send another request: a client with a request sends it as soon as it has connected.
 const EVICT_FIRST_AFTER: Span = Span::from_millis(250);
-/// The most reads from a connection in one turn. Each read fills the input buffer; together they take more
-/// than a message of the maximum length.
-const MAX_READS_PER_TURN: usize = 8;
-
 /// The downstream side: the connections of all clients.
 pub(super) struct Downstream {
     owner: Owner,
@@ -58,6 +56,8 @@
     /// and lingering ones, by the time of their last response.
     evict_first: TimeQueue,
     limits: ClientLimits,
+    /// The memory that all clients together take, and may take.
+    memory: MemoryBudget,
     decoder: RequestDecoder,
     /// The `Retry-After` time for rejected clients; zero if rejections do not carry that header.
     retry_after: Span,
@@ -76,11 +76,13 @@
         client_timeouts: Vec<Span>,
         retry_after: Span,
     ) -> Downstream {
+        let memory = MemoryBudget::within(limits.memory);
         Downstream {
             owner,
             clients: BTreeMap::new(),
             evict_first: TimeQueue::default(),
-            limits: ClientLimits::within(limits),
+            limits: ClientLimits::within(limits.connections, memory.max_clients()),
+            memory,
             decoder: RequestDecoder::new(names, client_timeouts),
             retry_after,
             shutdown_deadline: None,
@@ -96,7 +98,8 @@
 
     /// Sets the resources from which the limits on clients are derived.
     pub(super) fn set_limits(&mut self, limits: ResourceLimits) {
-        self.limits = ClientLimits::within(limits);
+        self.memory.set_limit(limits.memory);
+        self.limits = ClientLimits::within(limits.connections, self.memory.max_clients());
     }
 
     /// Whether the number of clients has reached the limit on served clients.
@@ -213,15 +216,16 @@
     /// Delivers a final response to its client.
     pub(super) fn deliver(&mut self, cx: &mut TurnContext<'_>, undelivered: &UndeliveredResponse) {
         let id = undelivered.client;
-        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some(client) = self.clients.get(&id) else { return };
         match client.state {
             ClientState::AwaitingResponse(request) if request == undelivered.request => {}
             _ => return,
         }
         if self.shutdown_deadline.is_some() {
             // Requests that have arrived by now must not be lost behind a response that ends the connection.
-            client.receive(cx.now, MAX_READS_PER_TURN);
+            self.receive(cx.now, id);
         }
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let keep_alive = client.keeps_alive(self.shutdown_deadline.is_some());
         let output = &mut client.connection.output;
         match &undelivered.response {
--- a/crates/node/src/proxy/downstream/pipeline.rs
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -5,8 +5,8 @@
 //! client's leaving is noticed only by reading everything.
 //!
 //! Invariants: entries are taken in the order in which the client sent them; what is held, including the
-//! body that is being read, takes at most [`READ_AHEAD_BYTES`]; each complete message is either held or
-//! counted as in excess, until the first message that ends the input.
+//! message that is being read, takes at most the memory that the caller grants; each complete message is either
+//! held or counted as in excess, until the first message that ends the input.
 
 use std::collections::VecDeque;
 
@@ -18,6 +18,30 @@
 /// The most memory, in bytes, for what a client has sent ahead. A message of the maximum length fits.
 pub const READ_AHEAD_BYTES: usize = 80 * 1024;
 
+/// The most memory, in bytes, for the head of a message that is not complete: enough for the longest head.
+pub const INCOMPLETE_HEAD_BYTES: usize = 40 * 1024;
+/// The number of entries for which memory is retained.
+const RETAINED_ENTRIES: usize = 1;
+
+/// The number of entries for which memory is left beside requests: one for those in excess, one for the end.
+const RESERVED_ENTRIES: usize = 2;
+
+/// The memory that the input of one client may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadAheadLimits {
+    /// For complete requests and for the body of the incomplete one, in bytes. What exceeds it is counted and not
+    /// held.
+    pub held_bytes: usize,
+    /// For the head of the incomplete request, in bytes. An input that exceeds it is dropped.
+    pub incomplete_bytes: usize,
+}
+
+impl Default for ReadAheadLimits {
+    fn default() -> ReadAheadLimits {
+        ReadAheadLimits { held_bytes: READ_AHEAD_BYTES, incomplete_bytes: INCOMPLETE_HEAD_BYTES }
+    }
+}
+
 /// What has its turn next on a connection.
 #[derive(Debug)]
 pub enum PipelineEntry {
@@ -41,18 +65,21 @@
         /// Whether the client keeps the connection open after the message.
         keep_alive: bool,
     },
+    /// Input that was dropped for lack of memory before its message was complete. Nothing behind it can be read.
+    OutOfMemory,
     /// Input that is not a valid request. Nothing behind it can be read.
     Invalid(ParseError),
 }
 
 impl PipelineEntry {
-    /// The memory that the entry takes, in bytes. Requests in excess are counted, not held, and invalid input
-    /// is the last entry.
-    fn memory_bytes(&self) -> usize {
+    /// The memory that the entry has allocated, in bytes. Requests in excess are counted, not held.
+    fn allocated_bytes(&self) -> usize {
         match self {
-            PipelineEntry::Request { message, .. } => size_of::<PipelineEntry>() + message.allocated_bytes(),
-            PipelineEntry::Defective { .. } => size_of::<PipelineEntry>(),
-            PipelineEntry::Excess { .. } | PipelineEntry::Invalid(_) => 0,
+            PipelineEntry::Request { message, .. } => message.allocated_bytes(),
+            PipelineEntry::Defective { .. }
+            | PipelineEntry::Excess { .. }
+            | PipelineEntry::OutOfMemory
+            | PipelineEntry::Invalid(_) => 0,
         }
     }
 }
@@ -61,7 +88,7 @@
 pub struct Pipeline {
     decoder: MessageDecoder,
     entries: VecDeque<PipelineEntry>,
-    /// The memory of the messages in `entries`, in bytes.
+    /// The memory that the messages in `entries` have allocated, in bytes.
     held_bytes: usize,
     /// Whether the body of the incomplete message is discarded, for lack of memory.
     is_discarding: bool,
@@ -83,25 +110,33 @@
 }
 
 impl Pipeline {
-    /// Decodes input whose last byte has arrived at `now`. All of it is consumed, except for an incomplete
-    /// line.
-    pub fn decode(&mut self, input: &mut RingBuffer, now: Time) {
+    /// Decodes input whose last byte has arrived at `now`, and holds what the limits allow. All of it is consumed,
+    /// except for an incomplete line.
+    pub fn decode(&mut self, input: &mut RingBuffer, now: Time, limits: ReadAheadLimits) {
         while !self.has_ended {
             match self.decoder.next(input) {
-                Ok(Some(message)) => self.push(message, now),
+                Ok(Some(message)) => self.push(message, now, limits.held_bytes),
                 Ok(None) => break,
-                Err(error) => {
-                    self.entries.push_back(PipelineEntry::Invalid(error));
-                    self.has_ended = true;
-                }
+                Err(error) => self.end_with(PipelineEntry::Invalid(error)),
             }
         }
-        if self.has_ended {
-            input.clear();
-        } else if self.decoder.incomplete_body_bytes() > self.available_bytes() {
+        if self.memory_bytes() > limits.held_bytes && self.decoder.head().is_some() {
             self.decoder.discard_body();
             self.is_discarding = true;
         }
+        let incomplete_bytes = self.decoder.head_bytes() + input.capacity();
+        if !self.has_ended && incomplete_bytes > limits.incomplete_bytes {
+            self.decoder = MessageDecoder::new(MessageKind::Request);
+            self.end_with(PipelineEntry::OutOfMemory);
+        }
+        if self.has_ended {
+            input.clear();
+        }
+    }
+
+    fn end_with(&mut self, entry: PipelineEntry) {
+        self.push_reserved(entry);
+        self.has_ended = true;
     }
 
     /// Takes the next entry. Requests in excess are taken at most `max_excess` at a time.
@@ -113,7 +148,10 @@
             return Some(PipelineEntry::Excess { count: max_excess });
         }
         let entry = self.entries.pop_front()?;
-        self.held_bytes -= entry.memory_bytes();
+        self.held_bytes -= entry.allocated_bytes();
+        if self.entries.is_empty() && self.entries.capacity() > RETAINED_ENTRIES {
+            self.entries = VecDeque::new();
+        }
         Some(entry)
     }
 
@@ -124,7 +162,9 @@
 
     /// Whether a request waits for its turn, or for its rejection.
     pub fn has_request(&self) -> bool {
-        self.entries.front().is_some_and(|entry| !matches!(entry, PipelineEntry::Invalid(_)))
+        self.entries
+            .front()
+            .is_some_and(|entry| !matches!(entry, PipelineEntry::Invalid(_) | PipelineEntry::OutOfMemory))
     }
 
     /// Whether no entry waits for its turn and no part of a message was consumed.
@@ -146,9 +186,7 @@
     pub fn next_arrived_at(&self) -> Option<Time> {
         match self.entries.front()? {
             PipelineEntry::Request { arrived_at, .. } => Some(*arrived_at),
-            PipelineEntry::Excess { .. } | PipelineEntry::Defective { .. } | PipelineEntry::Invalid(_) => {
-                None
-            }
+            _ => None,
         }
     }
 
@@ -157,16 +195,14 @@
         if self.is_empty() { self.decoder.head() } else { None }
     }
 
-    /// The memory that the requests and the body of the incomplete message take, in bytes.
+    /// The memory that the requests and the incomplete message take, in bytes.
     pub fn memory_bytes(&self) -> usize {
-        self.held_bytes + self.decoder.incomplete_body_bytes()
+        self.entries.capacity() * size_of::<PipelineEntry>()
+            + self.held_bytes
+            + self.decoder.allocated_bytes()
     }
 
-    fn available_bytes(&self) -> usize {
-        READ_AHEAD_BYTES.saturating_sub(self.held_bytes)
-    }
-
-    fn push(&mut self, message: Message, arrived_at: Time) {
+    fn push(&mut self, message: Message, arrived_at: Time, max_bytes: usize) {
         self.has_ended = !message.head.keep_alive;
         let is_discarded = std::mem::take(&mut self.is_discarding);
         let keep_alive = message.head.keep_alive;
@@ -174,18 +210,35 @@
             Some(defect) => PipelineEntry::Defective { defect, keep_alive },
             None => PipelineEntry::Request { message, arrived_at },
         };
-        let bytes = entry.memory_bytes();
-        if is_discarded || bytes > self.available_bytes() {
+        let bytes = entry.allocated_bytes();
+        let added_entries = self.next_growth() + RESERVED_ENTRIES;
+        let added_bytes = bytes + added_entries * size_of::<PipelineEntry>();
+        if is_discarded || self.memory_bytes() + added_bytes > max_bytes {
             return self.push_excess();
         }
+        self.entries.reserve_exact(self.next_growth());
         self.held_bytes += bytes;
         self.entries.push_back(entry);
     }
 
+    /// By how many entries the allocation grows for the next one.
+    fn next_growth(&self) -> usize {
+        match self.entries.capacity() {
+            capacity if self.entries.len() < capacity => 0,
+            capacity => capacity.max(RETAINED_ENTRIES),
+        }
+    }
+
     fn push_excess(&mut self) {
         match self.entries.back_mut() {
             Some(PipelineEntry::Excess { count }) => *count += 1,
-            _ => self.entries.push_back(PipelineEntry::Excess { count: 1 }),
+            _ => self.push_reserved(PipelineEntry::Excess { count: 1 }),
         }
     }
+
+    /// Pushes an entry for which memory was left.
+    fn push_reserved(&mut self, entry: PipelineEntry) {
+        self.entries.reserve_exact(1);
+        self.entries.push_back(entry);
+    }
 }
--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -5,6 +5,7 @@
 use super::Downstream;
 use super::WRITE_TIMEOUT;
 use super::client::ClientState;
+use super::memory_budget::MemoryBudget;
 use super::rejection::Rejection;
 use super::request_decoder::{DecodedRequest, RequestError};
 use crate::http::{Message, MessageHead, RequestDefect, write_local_reply};
@@ -26,7 +27,8 @@
         }
         // Only clients with a request in progress count here. The others delay no request, and are evicted
         // first when there are too many clients.
-        let is_overloaded = cx.requests.pending_count() >= self.limits.served;
+        let has_memory = self.memory.can_reserve(MemoryBudget::reservation_for(&message));
+        let is_overloaded = cx.requests.pending_count() >= self.limits.served || !has_memory;
         match self.decoder.decode(&message.head) {
             Ok(_) if is_overloaded => self.reject(cx, id, Rejection::Overloaded),
             Ok(decoded) => self.admit(cx, id, arrived_at, decoded, message),
@@ -97,14 +99,17 @@
             return self.reject(cx, id, Rejection::Expired);
         }
         let budget = request.client_timeout;
+        let reserved_bytes = MemoryBudget::reservation_for(&message);
         let request_id = match cx.requests.insert(cx.now, id, request, client_request_id, message) {
             Ok(request_id) => request_id,
             Err(error) => return self.reject(cx, id, Rejection::RequestId(error)),
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.state = ClientState::AwaitingResponse(request_id);
+        client.reserved_bytes = reserved_bytes;
         // The balancer answers within the budget. This timer closes the connection if no response ever comes.
         cx.transport.timers.set(id, cx.now + budget + WRITE_TIMEOUT);
+        self.count_memory(id);
     }
 
     /// Rejects requests that exceeded the memory for requests sent ahead. Nothing was forwarded for them.
--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -27,7 +27,7 @@
 
 pub use attempt_end::{AttemptEnd, RequestProgress};
 pub use client_request_id::ClientRequestId;
-pub use downstream::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
+pub use downstream::{Pipeline, PipelineEntry, READ_AHEAD_BYTES, ReadAheadLimits};
 pub use endpoint_directory::KnownEndpoint;
 pub use final_response::FinalResponse;
 pub use load_report::parse_load_report;
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -361,6 +361,8 @@
         self.metrics.count_response(&response);
         self.ids.on_finished(&active.client_request_id);
         active.response = ResponseState::Ready(response);
+        // No further attempt is written. Attempts that are still in flight need no message.
+        active.message = Message::default();
         self.undelivered.push_back(id);
         self.release_if_never_run(id);
         true
--- a/crates/node/src/transport/ring_buffer.rs
+++ b/crates/node/src/transport/ring_buffer.rs
@@ -2,14 +2,16 @@
 
 use std::collections::VecDeque;
 
-/// Largest capacity that an empty buffer retains, in bytes. Most messages fit into this capacity, and a
-/// thousand such buffers need little memory.
-const RETAINED_CAPACITY: usize = 2048;
+/// Largest capacity that a buffer retains whatever it contains, in bytes. Most messages fit into this capacity,
+/// and a thousand such buffers need little memory.
+const RETAINED_CAPACITY: usize = 512;
+/// A larger capacity is released as soon as the bytes take less than this part of it.
+const LEAST_USED_PART: usize = 4;
 
 /// A first-in, first-out byte buffer.
 ///
-/// The buffer allocates no memory before its first use, grows as needed, and releases a large allocation when
-/// it becomes empty.
+/// The buffer allocates no memory before its first use, grows as needed, and releases most of a large allocation
+/// when few bytes are left.
 #[derive(Default)]
 pub struct RingBuffer {
     bytes: VecDeque<u8>,
@@ -26,6 +28,11 @@
         self.bytes.is_empty()
     }
 
+    /// The allocated memory, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Appends bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         if bytes.len() > RETAINED_CAPACITY {
@@ -53,8 +60,9 @@
     /// Panics if fewer than `count` bytes are buffered.
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count);
-        if self.bytes.is_empty() && self.bytes.capacity() > RETAINED_CAPACITY {
-            self.bytes = VecDeque::new();
+        let is_mostly_unused = self.bytes.len() < self.bytes.capacity() / LEAST_USED_PART;
+        if is_mostly_unused && self.bytes.capacity() > RETAINED_CAPACITY {
+            self.bytes.shrink_to_fit();
         }
     }
 
--- a/crates/node/tests/pipeline.rs
+++ b/crates/node/tests/pipeline.rs
@@ -1,7 +1,7 @@
 //! Property tests of the requests that a client sends ahead, without sockets.
 
 use granitelb_balancer::time::Time;
-use granitelb_node::proxy::{Pipeline, PipelineEntry, READ_AHEAD_BYTES};
+use granitelb_node::proxy::{Pipeline, PipelineEntry, READ_AHEAD_BYTES, ReadAheadLimits};
 use granitelb_node::transport::RingBuffer;
 use proptest::prelude::*;
 
@@ -53,6 +53,7 @@
             taken + count as usize
         }
         Some(PipelineEntry::Defective { defect, .. }) => panic!("{defect}"),
+        Some(PipelineEntry::OutOfMemory) => panic!("an input was dropped"),
         Some(PipelineEntry::Invalid(error)) => panic!("{error}"),
         None => taken,
     }
@@ -74,7 +75,7 @@
         while !rest.is_empty() {
             let (piece, later) = rest.split_at(rest.len().min(*pieces.next().expect("a length")));
             input.push(piece);
-            pipeline.decode(&mut input, Time(0));
+            pipeline.decode(&mut input, Time(0), ReadAheadLimits::default());
             rest = later;
             prop_assert!(pipeline.memory_bytes() <= READ_AHEAD_BYTES);
             for _ in 0..*takes.next().expect("a number") {
@@ -94,7 +95,7 @@
         let (mut pipeline, mut input) = (Pipeline::default(), RingBuffer::default());
         for bytes in request.format(0).chunks(piece) {
             input.push(bytes);
-            pipeline.decode(&mut input, Time(0));
+            pipeline.decode(&mut input, Time(0), ReadAheadLimits::default());
         }
         let entry = pipeline.pop(1);
         prop_assert!(matches!(entry, Some(PipelineEntry::Request { .. })), "{:?}", entry);
--- a/crates/node/tests/request_splits.rs
+++ b/crates/node/tests/request_splits.rs
@@ -1,7 +1,7 @@
 //! Fuzz tests of the decoder of requests by seeds, without sockets.
 
 use granitelb_balancer::time::Time;
-use granitelb_node::proxy::{Pipeline, READ_AHEAD_BYTES};
+use granitelb_node::proxy::{Pipeline, READ_AHEAD_BYTES, ReadAheadLimits};
 use granitelb_node::transport::RingBuffer;
 use test_case::test_case;
 
@@ -55,7 +55,7 @@
     let (mut pipeline, mut input) = (Pipeline::default(), RingBuffer::default());
     for part in parts {
         input.push(part);
-        pipeline.decode(&mut input, Time(0));
+        pipeline.decode(&mut input, Time(0), ReadAheadLimits::default());
         assert!(pipeline.memory_bytes() <= READ_AHEAD_BYTES && input.len() <= MAX_INPUT_BYTES);
     }
     std::iter::from_fn(|| pipeline.pop(1)).map(|entry| format!("{entry:?}\n")).collect()
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -71,6 +71,7 @@
 //!   byte, and split at each position.
 
 mod connection;
+mod crowds;
 mod disconnects;
 mod harness;
 mod in_process;
