Bound what a turn reads and answers over all clients, so that crowds delay no others

Cause: reading and answering were bounded by client, not by turn, so that a turn grew with the crowd. The test of crowds had a read answered 502 for it in a debug build.

Change: `TurnBudget`. Each readable client has 4 KiB read in its turn; beyond that, 256 KiB a turn for all, and 512 messages of clients that are behind. The rest waits for the next turn, which is due at once. A turn takes up to 1,024 events.

The crowd test has its tenth shape, unsound requests, at three limits.

--- a/crates/node/src/proxy/downstream/advance.rs
+++ b/crates/node/src/proxy/downstream/advance.rs
@@ -54,7 +54,7 @@
     pub(super) fn receive(&mut self, now: Time, id: ConnectionId) -> Option<bool> {
         let client = self.clients.get_mut(&id)?;
         let limits = self.memory.read_ahead_limits(client.counted);
-        let has_received_all = client.receive(now, limits);
+        let has_received_all = client.receive(now, &mut self.turn_budget, limits);
         self.count_memory(id);
         Some(has_received_all)
     }
@@ -94,7 +94,9 @@
                 ClientState::Reading if client.reads_on_until(cx.now).is_some() => break,
                 ClientState::Reading if taken == MAX_MESSAGES_PER_TURN => break,
                 ClientState::Reading => {
-                    if !self.take_next(cx, id) {
+                    // A client that sends little has its turn whatever the others send.
+                    let may_take = !client.sends_ahead || self.turn_budget.take_message();
+                    if !may_take || !self.take_next(cx, id) {
                         break;
                     }
                     taken += 1;
--- a/crates/node/src/proxy/downstream/client.rs
+++ b/crates/node/src/proxy/downstream/client.rs
@@ -5,10 +5,14 @@
 
 use super::memory_budget::ClientMemory;
 use super::pipeline::{Pipeline, ReadAheadLimits};
+use super::turn_budget::TurnBudget;
 use crate::transport::Connection;
 
-/// The most reads from a connection in one turn. Each read fills the input buffer; together they take more
-/// than a message of the maximum length.
+/// What is read from each connection that is readable, in bytes: more than a usual request.
+const FIRST_READ_BYTES: usize = 4 * 1024;
+/// The size in bytes of each further read from a connection in the same turn, and the most such reads. Together they
+/// take more than a message of the maximum length.
+const MAX_READ_BYTES: usize = 16 * 1024;
 const MAX_READS_PER_TURN: usize = 8;
 /// How long a request waits at most while its client sends faster than the node reads.
 const MAX_UNREAD_DELAY: Span = Span::from_millis(250);
@@ -51,6 +55,8 @@
     pub(super) reserved_bytes: usize,
     /// The memory of the client that the budget of all clients contains.
     pub(super) counted: ClientMemory,
+    /// Whether the client had sent more than was read when it last had its turn.
+    pub(super) sends_ahead: bool,
     /// Since when the input has not been read whole; `None` if it has.
     unread_since: Option<Time>,
 }
@@ -68,6 +74,7 @@
             is_new: true,
             reserved_bytes: 0,
             counted: ClientMemory::default(),
+            sends_ahead: false,
             unread_since: None,
         }
     }
@@ -93,20 +100,25 @@
         ClientMemory { input: self.pipeline.memory_bytes() + self.connection.input.capacity(), response }
     }
 
-    /// Receives and decodes what the operating system has buffered, with at most [`MAX_READS_PER_TURN`] reads, and
-    /// holds what the limits allow. Returns whether everything was received.
-    pub(super) fn receive(&mut self, now: Time, limits: ReadAheadLimits) -> bool {
-        for _ in 0..MAX_READS_PER_TURN {
-            self.connection.receive();
+    /// Receives and decodes what the operating system has buffered, as far as the turn's budget allows, and holds
+    /// what the limits allow. Returns whether everything was received.
+    pub(super) fn receive(&mut self, now: Time, budget: &mut TurnBudget, limits: ReadAheadLimits) -> bool {
+        if !self.sends_ahead {
+            self.connection.receive_at_most(FIRST_READ_BYTES);
             self.decode(now, limits);
-            if self.connection.is_drained() {
+        }
+        for _ in 0..MAX_READS_PER_TURN {
+            if self.connection.is_drained() || !budget.can_read() {
                 break;
             }
+            budget.count_bytes(self.connection.receive_at_most(MAX_READ_BYTES));
+            self.decode(now, limits);
         }
         if !self.connection.is_drained() {
             self.connection.peek();
         }
         let has_received_all = self.connection.is_drained();
+        self.sends_ahead = !has_received_all;
         self.unread_since = if has_received_all { None } else { self.unread_since.or(Some(now)) };
         has_received_all
     }
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -14,6 +14,7 @@
 mod request_attributes;
 mod request_decoder;
 mod requests;
+mod turn_budget;
 
 use std::collections::BTreeMap;
 
@@ -29,6 +30,7 @@
 use self::rejection::Rejection;
 use self::request_decoder::RequestDecoder;
 use self::requests::write_with_retry_after;
+use self::turn_budget::TurnBudget;
 use super::final_response::FinalResponse;
 use super::request_table::UndeliveredResponse;
 use super::turn_context::TurnContext;
@@ -58,6 +60,8 @@
     limits: ClientLimits,
     /// The memory that all clients together take, and may take.
     memory: MemoryBudget,
+    /// What is left of the work of this turn.
+    turn_budget: TurnBudget,
     decoder: RequestDecoder,
     /// The `Retry-After` time for rejected clients; zero if rejections do not carry that header.
     retry_after: Span,
@@ -83,6 +87,7 @@
             evict_first: TimeQueue::default(),
             limits: ClientLimits::within(limits.connections, memory.max_clients()),
             memory,
+            turn_budget: TurnBudget::default(),
             decoder: RequestDecoder::new(names, client_timeouts),
             retry_after,
             shutdown_deadline: None,
@@ -90,6 +95,11 @@
         }
     }
 
+    /// Begins a turn of the event loop.
+    pub(super) fn begin_turn(&mut self) {
+        self.turn_budget = TurnBudget::default();
+    }
+
     /// Replaces the request classes, their timeouts and the `Retry-After` time.
     pub(super) fn on_settings_update(&mut self, names: Names, client_timeouts: Vec<Span>, retry_after: Span) {
         self.decoder = RequestDecoder::new(names, client_timeouts);
@@ -142,7 +152,7 @@
     /// Handles an event of a connection.
     pub(super) fn on_event(&mut self, cx: &mut TurnContext<'_>, event: ReadinessEvent) {
         let Some(client) = self.clients.get_mut(&event.id) else { return };
-        client.connection.on_event(&event);
+        client.connection.record_end(&event);
         self.receive_and_advance(cx, event.id);
     }
 
--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -194,6 +194,7 @@
 
     /// Handles the events and timers of a turn.
     fn run_turn(&mut self, now: Time, events: &[ReadinessEvent]) {
+        self.downstream.begin_turn();
         // Disconnects of clients are handled first. Otherwise the request of a disconnected client could be
         // written to a connection that is established in the same turn.
         let (disconnects, others): (Vec<&ReadinessEvent>, Vec<&ReadinessEvent>) =
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -155,15 +155,33 @@
         if event.readable {
             self.receive();
         }
+        self.record_end(event);
+    }
+
+    /// Records the end of the connection or its input, if epoll has reported it.
+    pub fn record_end(&mut self, event: &ReadinessEvent) {
         self.end_reported |= event.closed || event.read_closed;
     }
 
     /// Receives the data that is available, up to the limit of the input buffer.
     pub fn receive(&mut self) {
+        self.receive_at_most(MAX_INPUT_BYTES);
+    }
+
+    /// Receives the data that is available, up to `max` bytes and the limit of the input buffer. Returns the number
+    /// of received bytes.
+    pub fn receive_at_most(&mut self, max: usize) -> usize {
+        let before = self.input.len();
+        self.fill_input((before + max).min(MAX_INPUT_BYTES));
+        self.input.len() - before
+    }
+
+    /// Receives data until so many bytes are buffered or no more is available.
+    fn fill_input(&mut self, target: usize) {
         self.is_drained = false;
         let mut chunk = [0; MAX_INPUT_BYTES];
-        while self.is_connected() && self.closed.is_none() && self.input.len() < MAX_INPUT_BYTES {
-            let capacity = MAX_INPUT_BYTES - self.input.len();
+        while self.is_connected() && self.closed.is_none() && self.input.len() < target {
+            let capacity = target - self.input.len();
             match net::recv(&self.fd, &mut chunk[..capacity], RecvFlags::empty()) {
                 Ok((0, _)) => self.closed = Some(CloseReason::ClosedByPeer),
                 Ok((count, _)) => {
--- a/crates/node/src/transport/poller.rs
+++ b/crates/node/src/transport/poller.rs
@@ -14,7 +14,7 @@
 
 /// Largest number of events per turn of the event loop: enough to empty most queues, few enough to keep
 /// timers on time.
-const MAX_EVENTS_PER_TURN: usize = 256;
+const MAX_EVENTS_PER_TURN: usize = 1024;
 
 /// Shortest idle time after which a connection may be closed to free its descriptor.
 const MIN_IDLE_TIME: Span = Span::from_millis(100);
--- a/crates/node/tests/scenarios/crowds.rs
+++ b/crates/node/tests/scenarios/crowds.rs
@@ -17,6 +17,8 @@
     ShortHeaders,
     /// Small requests, sent ahead.
     SmallRequests,
+    /// Requests that are refused, sent ahead.
+    DefectiveRequests,
     /// Half of a long body.
     HalfBody,
     /// A head of many short headers without its end.
@@ -62,6 +64,7 @@
         match self {
             Shape::ShortHeaders => heads(60, &short_headers(90)),
             Shape::SmallRequests => heads(700, ""),
+            Shape::DefectiveRequests => "GET\\s/%\\sHTTP/1.1\\r\\nHost:\\sn\\r\\n\\r\\n".repeat(500),
             Shape::HalfBody => {
                 format!("{}Content-Length:\\s65000\\r\\n\\r\\n\\*40000x", head(client, 0))
             }
@@ -93,7 +96,7 @@
 #[test_matrix(
     [32, 48, 192],
     [
-        Shape::ShortHeaders, Shape::SmallRequests, Shape::HalfBody, Shape::UnfinishedHead,
+        Shape::ShortHeaders, Shape::SmallRequests, Shape::DefectiveRequests, Shape::HalfBody, Shape::UnfinishedHead,
         Shape::UnfinishedLine, Shape::SmallChunks, Shape::Drawn { seed: 1 }, Shape::Drawn { seed: 2 },
         Shape::Drawn { seed: 3 }
     ]
