Send nothing to the former process of a cache that was started anew at its address

Cause: the upstream side knew an endpoint's process by its address. When the list told a later start time under the same identifier, the balancer began anew, and the pooled connections stayed: the next request was written to one that leads to the former process.

Change: a pool and its connections belong to an `Incarnation`, address and start time. What leads to a former one is closed when idle or connecting, released when nothing was written, and closed after its answer otherwise.

Evidence: scenario `replaced-process` failed before (the payment was written to the connection of the former process: one connection where two are expected) and passes now.

--- a/crates/node/src/proxy/endpoint_directory.rs
+++ b/crates/node/src/proxy/endpoint_directory.rs
@@ -24,6 +24,22 @@
     pub update: EndpointUpdate,
 }
 
+impl KnownEndpoint {
+    /// The process that serves the endpoint, as far as the list tells.
+    pub(super) fn incarnation(&self) -> Incarnation {
+        Incarnation { address: self.address, started: self.update.started }
+    }
+}
+
+/// A process that serves an endpoint. Its successor under the same identifier has another address or start time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Incarnation {
+    /// The address at which the process listens.
+    pub(super) address: SocketAddr,
+    /// When the process started; `None` for long ago.
+    started: Option<Time>,
+}
+
 /// Translates endpoint lists for the balancer and stores the endpoints that may get attempts.
 ///
 /// Invariant: no two endpoints have the same address, and each endpoint in `unlisted_since` is in `endpoints`
--- a/crates/node/src/proxy/upstream/connecting.rs
+++ b/crates/node/src/proxy/upstream/connecting.rs
@@ -34,11 +34,11 @@
         if cx.transport.available_connections() <= RESERVED_FOR_WATCH {
             return Err(CloseReason::NoFileDescriptor);
         }
-        let connection = Connection::connect(cx.transport, pool.address, self.owner)?;
+        let connection = Connection::connect(cx.transport, pool.incarnation.address, self.owner)?;
         let id = connection.id();
         pool.connecting.push(id);
         cx.transport.timers.set(id, cx.now + SURPLUS_CONNECT_TIMEOUT);
-        let upstream = UpstreamConnection::new(connection, endpoint, pool.address, cx.now);
+        let upstream = UpstreamConnection::new(connection, endpoint, pool.incarnation, cx.now);
         self.connections.insert(id, upstream);
         Ok(id)
     }
--- a/crates/node/src/proxy/upstream/connection.rs
+++ b/crates/node/src/proxy/upstream/connection.rs
@@ -8,13 +8,12 @@
 //! since its last response for the time in which a duplicate of that response arrives. A connection on which
 //! something arrives in that time, or at any time without a request in progress, carries no request again.
 
-use std::net::SocketAddr;
-
 use granitelb_balancer::ids::{AttemptNumber, EndpointId, RequestId};
 use granitelb_balancer::time::{Span, Time};
 
 use crate::http::{Message, MessageDecoder, MessageKind, ParseError};
 use crate::proxy::attempt_end::RequestProgress;
+use crate::proxy::endpoint_directory::Incarnation;
 use crate::transport::{CloseReason, Connection};
 
 /// A duplicate of a response arrives within this time after the original.
@@ -60,7 +59,8 @@
     pub(super) connection: Connection,
     pub(super) decoder: MessageDecoder,
     pub(super) endpoint: EndpointId,
-    pub(super) address: SocketAddr,
+    /// The process to which the connection leads.
+    pub(super) incarnation: Incarnation,
     pub(super) attempt: Option<AssignedAttempt>,
     /// When the connection was opened.
     opened_at: Time,
@@ -73,14 +73,14 @@
     pub(super) fn new(
         connection: Connection,
         endpoint: EndpointId,
-        address: SocketAddr,
+        incarnation: Incarnation,
         now: Time,
     ) -> UpstreamConnection {
         UpstreamConnection {
             connection,
             decoder: MessageDecoder::new(MessageKind::Response),
             endpoint,
-            address,
+            incarnation,
             attempt: None,
             opened_at: now,
             last_response_at: None,
--- a/crates/node/src/proxy/upstream/exchange.rs
+++ b/crates/node/src/proxy/upstream/exchange.rs
@@ -2,8 +2,8 @@
 
 use granitelb_balancer::time::{Span, Time};
 
-use super::Upstream;
 use super::connection::UpstreamConnection;
+use super::{Upstream, is_current};
 use crate::http::{Message, write_request};
 use crate::proxy::attempt_end::AttemptEnd;
 use crate::proxy::request_table::RequestTable;
@@ -52,7 +52,7 @@
     }
 
     /// Writes the request of an attempt. The first byte of every attempt passes this check: it is sent only
-    /// while the request is pending, before the start deadline, and to the endpoint's current address. A request
+    /// while the request is pending, before the start deadline, and to the process that serves the endpoint now. A request
     /// whose client may have disconnected ends here.
     ///
     /// The request states the time that is left now, since connecting may have taken long. Nothing is written
@@ -68,12 +68,11 @@
             return Ok(());
         }
         let is_clean = upstream.is_clean();
+        let is_current = is_current(&self.pools, upstream);
         let Some(attempt) = &mut upstream.attempt else { return Ok(()) };
-        let pool = self.pools.get(&upstream.endpoint);
-        let is_current_address = pool.is_some_and(|pool| pool.address == upstream.address);
         requests.finish_if_unread(attempt.id.request, now);
         let is_pending = requests.is_pending(attempt.id.request);
-        let request = requests.get(attempt.id.request).filter(|_| is_current_address && is_pending);
+        let request = requests.get(attempt.id.request).filter(|_| is_current && is_pending);
         let request = request.ok_or(CloseReason::NoLongerNeeded)?;
         if attempt.response_deadline <= now {
             return Err(CloseReason::DeadlineExceeded);
@@ -85,7 +84,7 @@
         if attempt.request_bytes.is_none() && is_clean {
             let output = &mut upstream.connection.output;
             let time_left_ms = (attempt.response_deadline - now).0 / MICROS_PER_MILLI;
-            write_request(output, request.message(), &upstream.address.to_string(), time_left_ms);
+            write_request(output, request.message(), &upstream.incarnation.address.to_string(), time_left_ms);
             attempt.request_bytes = Some(output.len());
             requests.on_attempt_written(attempt.id.request, attempt.id.number);
         }
@@ -151,12 +150,11 @@
             response.head.keep_alive && !attempt.has_early_data && upstream.is_clean() && written.is_ok();
         upstream.last_response_at = Some(cx.now);
         self.answered.push(id);
-        let is_current_address =
-            self.pools.get(&endpoint).is_some_and(|pool| pool.address == upstream.address);
+        let is_current = is_current(&self.pools, upstream);
         let latency: Span = cx.now - attempt.started_at;
         let end = AttemptEnd::Response(response);
         cx.requests.on_attempt_end(attempt.id.request, attempt.id.number, endpoint, end, latency);
-        if !is_reusable || !is_current_address {
+        if !is_reusable || !is_current {
             self.remove(cx.transport, id, CloseReason::NoLongerNeeded);
             return ConnectionStatus::Closed;
         }
--- a/crates/node/src/proxy/upstream/mod.rs
+++ b/crates/node/src/proxy/upstream/mod.rs
@@ -63,14 +63,15 @@
         self.idle_timeout = keep_alive.scaled(IDLE_TIMEOUT_SHARE);
     }
 
-    /// Sets the endpoints that may get attempts; all others are removed.
+    /// Sets the endpoints that may get attempts; all others are removed. An endpoint whose process was replaced
+    /// is removed and added: a connection to the former process may stay open and silent.
     pub fn set_endpoints(
         &mut self,
         cx: &mut TurnContext<'_>,
         endpoints: &BTreeMap<EndpointId, KnownEndpoint>,
     ) {
         let is_removed = |endpoint: &EndpointId, pool: &EndpointPool| {
-            endpoints.get(endpoint).is_none_or(|known| known.address != pool.address)
+            endpoints.get(endpoint).is_none_or(|known| known.incarnation() != pool.incarnation)
         };
         let removed = self.pools.iter().filter(|(endpoint, pool)| is_removed(endpoint, pool));
         let removed: Vec<_> = removed.map(|(endpoint, _)| *endpoint).collect();
@@ -78,7 +79,7 @@
             self.remove_endpoint(cx, endpoint);
         }
         for (endpoint, known) in endpoints {
-            self.pools.entry(*endpoint).or_insert_with(|| EndpointPool::new(known.address));
+            self.pools.entry(*endpoint).or_insert_with(|| EndpointPool::new(known.incarnation()));
         }
     }
 
@@ -274,9 +275,7 @@
     fn keep_released(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, reason: CloseReason) {
         let Some(upstream) = self.connections.get_mut(&id) else { return };
         let endpoint = upstream.endpoint;
-        let pool = self.pools.get(&endpoint);
-        let is_current_address = pool.is_some_and(|pool| pool.address == upstream.address);
-        if !upstream.is_clean() || !is_current_address {
+        if !upstream.is_clean() || !is_current(&self.pools, upstream) {
             return self.remove(cx.transport, id, reason);
         }
         self.add_idle(cx, endpoint, id);
@@ -307,7 +306,12 @@
         if let Some(pool) = self.pools.get_mut(&upstream.endpoint) {
             pool.connecting.retain(|connecting| *connecting != id);
         }
-        log::debug!("connection to endpoint {} closed: {reason:?}", upstream.address);
+        log::debug!("connection to endpoint {} closed: {reason:?}", upstream.incarnation.address);
         upstream.connection.close(transport);
     }
 }
+
+/// Whether a connection leads to the process that serves its endpoint now.
+fn is_current(pools: &BTreeMap<EndpointId, EndpointPool>, upstream: &UpstreamConnection) -> bool {
+    pools.get(&upstream.endpoint).is_some_and(|pool| pool.incarnation == upstream.incarnation)
+}
--- a/crates/node/src/proxy/upstream/pool.rs
+++ b/crates/node/src/proxy/upstream/pool.rs
@@ -1,9 +1,8 @@
 //! The idle and the connecting connections to one endpoint, and how long connecting takes.
 
-use std::net::SocketAddr;
-
 use granitelb_balancer::time::Span;
 
+use crate::proxy::endpoint_directory::Incarnation;
 use crate::transport::ConnectionId;
 
 /// A connection that is not established after this multiple of the fastest connect time, plus
@@ -19,7 +18,8 @@
 
 /// The idle and the connecting connections to one endpoint.
 pub(super) struct EndpointPool {
-    pub(super) address: SocketAddr,
+    /// The process to which the connections lead.
+    pub(super) incarnation: Incarnation,
     /// Idle connections, the most recently used one last.
     pub(super) idle: Vec<ConnectionId>,
     /// Connections that are not established yet, the oldest first.
@@ -29,9 +29,9 @@
 }
 
 impl EndpointPool {
-    /// An empty pool for an endpoint at this address.
-    pub(super) fn new(address: SocketAddr) -> EndpointPool {
-        EndpointPool { address, idle: Vec::new(), connecting: Vec::new(), fastest_connect: None }
+    /// An empty pool for the process that serves an endpoint.
+    pub(super) fn new(incarnation: Incarnation) -> EndpointPool {
+        EndpointPool { incarnation, idle: Vec::new(), connecting: Vec::new(), fastest_connect: None }
     }
 
     /// Records how long a connection took to be established.
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -119,6 +119,7 @@
 #[test_case(include_str!("pushed-list.txt"); "pushed_list")]
 #[test_case(include_str!("refused.txt"); "refused")]
 #[test_case(include_str!("reload.txt"); "reload")]
+#[test_case(include_str!("replaced-process.txt"); "replaced_process")]
 #[test_case(include_str!("reset-after-response.txt"); "reset_after_response")]
 #[test_case(include_str!("responses.txt"); "responses")]
 #[test_case(include_str!("returning-ids.txt"); "returning_ids")]
