Test that answers around refused requests keep their order and number

Scenario: eight kinds of refused or locally answered messages between two requests, written at once; one in pieces with a request after its answer; a client that ends its sending behind them; and a shutdown.

--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -141,6 +141,7 @@
 #[test_case(include_str!("slow-start.txt"); "slow_start")]
 #[test_case(include_str!("stable-placement.txt"); "stable_placement")]
 #[test_case(include_str!("unnamed-zones.txt"); "unnamed_zones")]
+#[test_case(include_str!("unsound-between-requests.txt"); "unsound_between_requests")]
 #[test_case(include_str!("unsound-messages.txt"); "unsound_messages")]
 #[test_case(include_str!("unusual-messages.txt"); "unusual_messages")]
 #[test_case(include_str!("unreachable-discovery.txt"); "unreachable_discovery")]
