--- a/crates/node/src/proxy/downstream/turn_budget.rs
+++ b/crates/node/src/proxy/downstream/turn_budget.rs
@@ -4,7 +4,7 @@
 //! that endpoints, timers and clients that send little are not delayed by clients that send much.
 
 /// The most input, in bytes, that is read in a turn from clients that send more than a usual request at once.
-const MAX_BYTES: usize = 256 * 1024;
+const MAX_BYTES: usize = 64 * 1024;
 /// The most messages that are taken in a turn from clients that have sent more than was read.
 const MAX_MESSAGES: usize = 512;
 
