--- a/crates/node/tests/soak/fixture.rs
+++ b/crates/node/tests/soak/fixture.rs
@@ -15,7 +15,10 @@
 use crate::connection::header;
 
 const CACHES: usize = 3;
-const PORT: u16 = 15_000;
+/// The lowest port of nodes, and the number of such ports: all lie below the system's ephemeral ports, and runs at
+/// the same time use different ones.
+const FIRST_PORT: u16 = 16_384;
+const PORTS: u32 = 16_384;
 const START_POLLS: usize = 400;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
@@ -58,7 +61,8 @@
             accept_each(listener, move |stream| serve_endpoint(stream, &attempts, delay));
         }
         let discovery = TcpListener::bind((host(2), 0)).expect("a loopback address");
-        let node = SocketAddr::new(host(1).parse().expect("an address"), PORT);
+        let port = FIRST_PORT + (std::process::id() % PORTS) as u16;
+        let node = SocketAddr::new(host(1).parse().expect("an address"), port);
         let config = json!({"name": "n", "listen": node, "seed": "1f", "settings": settings(),
             "discovery": discovery.local_addr().expect("an address"),
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 400}});
