Look through a request's headers once for each question about them

The options of `Connection` are read once for all names, and a header that may occur once is found in one pass.

--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -64,11 +64,12 @@
     /// Returns [`ParseError::Malformed`] if the header occurs more than once or its value is not UTF-8 text,
     /// since different hops could read different values.
     pub fn single_header(&self, name: &str) -> Result<Option<&str>, ParseError> {
-        match self.header_values(name).count() {
-            0 => Ok(None),
-            1 => self.header_text(name).map(Some).ok_or(ParseError::Malformed),
-            _ => Err(ParseError::Malformed),
+        let mut values = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let Some((_, value)) = values.next() else { return Ok(None) };
+        if values.next().is_some() {
+            return Err(ParseError::Malformed);
         }
+        std::str::from_utf8(value).map(Some).or(Err(ParseError::Malformed))
     }
 
     /// All values of a header, in the order of the message.
@@ -89,7 +90,12 @@
 
     /// The headers that are forwarded, since they are meant for the final recipient and not for the next hop.
     pub fn end_to_end_headers(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.headers.iter().filter(|(name, _)| !self.is_hop_by_hop(name))
+        let options: Vec<&[u8]> = self.list_elements("connection").collect();
+        self.headers.iter().filter(move |(name, _)| {
+            let is_known = HOP_BY_HOP_HEADERS.iter().any(|header| name.eq_ignore_ascii_case(header));
+            let is_named = options.iter().any(|option| option.eq_ignore_ascii_case(name.as_bytes()));
+            !is_known && !is_named
+        })
     }
 
     /// The memory that the head has allocated, in bytes.
@@ -98,11 +104,6 @@
             + self.target.allocated_bytes()
             + self.headers.allocated_bytes()
     }
-
-    fn is_hop_by_hop(&self, name: &str) -> bool {
-        let is_known = HOP_BY_HOP_HEADERS.iter().any(|header| name.eq_ignore_ascii_case(header));
-        is_known || self.has_token("connection", name)
-    }
 }
 
 /// A complete message.
--- a/crates/node/src/http/request_validation.rs
+++ b/crates/node/src/http/request_validation.rs
@@ -47,12 +47,13 @@
 }
 
 fn validate_connection(head: &MessageHead) -> Result<(), RequestDefect> {
-    let is_option = |option: &[u8]| option.is_empty() || is_token(option);
-    if !head.list_elements("connection").all(is_option) {
-        return Err(RequestDefect::InvalidConnection);
-    }
-    if END_TO_END_HEADERS.iter().any(|name| head.has_token("connection", name)) {
-        return Err(RequestDefect::ConnectionNamesEndToEndHeader);
+    for option in head.list_elements("connection") {
+        if !option.is_empty() && !is_token(option) {
+            return Err(RequestDefect::InvalidConnection);
+        }
+        if END_TO_END_HEADERS.iter().any(|name| option.eq_ignore_ascii_case(name.as_bytes())) {
+            return Err(RequestDefect::ConnectionNamesEndToEndHeader);
+        }
     }
     Ok(())
 }
--- a/crates/node/src/proxy/downstream/request_decoder.rs
+++ b/crates/node/src/proxy/downstream/request_decoder.rs
@@ -159,7 +159,9 @@
 
 /// Validates the headers that the node only forwards.
 fn validate_forwarded_headers(head: &MessageHead) -> Result<(), RequestError> {
-    if END_TO_END_HEADERS.iter().any(|name| head.has_token("connection", name)) {
+    let is_end_to_end =
+        |option: &[u8]| END_TO_END_HEADERS.iter().any(|name| option.eq_ignore_ascii_case(name.as_bytes()));
+    if head.list_elements("connection").any(is_end_to_end) {
         return Err(RequestError::ConnectionNamesEndToEndHeader);
     }
     let key = head.single_header("idempotency-key").or(Err(RequestError::InvalidIdempotencyKey))?;
