Refuse requests in forms that the protocol has no client send

What is asked now: does the page have clients send it, or does an RFC oblige a server to take it? If neither, it is refused.

Refused with the connection: a PUT without a length (411), Content-Length twice, lengths of more than 15 digits, trailers that the protocol names, and a bare CR as soon as it is seen (before, the node waited for the rest of its line).

Tests: forms that stood as valid (a host with sub-delimiters or percent-encoding, empty segments, equal lengths on two lines, X-Cost: -5, X-Retried: 2) are checked as refused now; scenarios and clients of tests send what the protocol demands, so that each is refused for its own reason only. crowds: writes without a length get the length 0.

--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -23,6 +23,10 @@
     "x-timeout-ms",
 ];
 
+/// The headers that the protocol between clients and nodes names. They are meant for every hop.
+pub const PROTOCOL_HEADERS: [&str; 7] =
+    ["idempotency-key", "x-attrs", "x-cost", "x-priority-class", "x-request-id", "x-retried", "x-timeout-ms"];
+
 /// Whether a message is a request or a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageKind {
@@ -131,6 +135,8 @@
     HeadTooLarge,
     /// The body exceeds the limit on its size.
     BodyTooLarge,
+    /// A request that has a body by its method doesn't tell the length of the body.
+    LengthRequired,
 }
 
 impl ParseError {
@@ -138,6 +144,7 @@
     pub fn status(self) -> u16 {
         match self {
             ParseError::Malformed => 400,
+            ParseError::LengthRequired => 411,
             ParseError::BodyTooLarge => 413,
             ParseError::HeadTooLarge => 431,
         }
@@ -152,6 +159,7 @@
                 "the head of the HTTP message exceeds the limit on its size or number of headers"
             }
             ParseError::BodyTooLarge => "the body of the HTTP message exceeds the limit on its size",
+            ParseError::LengthRequired => "the HTTP request has a body of unknown length",
         })
     }
 }
--- a/crates/node/src/http/message_decoder.rs
+++ b/crates/node/src/http/message_decoder.rs
@@ -1,6 +1,6 @@
 //! Assembles complete HTTP messages from their parts.
 
-use super::message::{Message, MessageHead, MessageKind, ParseError};
+use super::message::{Message, MessageHead, MessageKind, PROTOCOL_HEADERS, ParseError};
 use super::parser::{MessagePart, Parser};
 use crate::transport::RingBuffer;
 
@@ -119,9 +119,10 @@
     fn check_trailer(&self, name: &str) -> Result<(), ParseError> {
         let Some(incomplete) = &self.incomplete else { return Err(ParseError::Malformed) };
         let head = &incomplete.message.head;
-        let is_forbidden = FORBIDDEN_TRAILERS.iter().any(|forbidden| name.eq_ignore_ascii_case(forbidden));
-        let is_repeated = self.kind == MessageKind::Request && head.header_values(name).next().is_some();
-        if is_forbidden || is_repeated { Err(ParseError::Malformed) } else { Ok(()) }
+        let is_one_of = |names: &[&str]| names.iter().any(|other| name.eq_ignore_ascii_case(other));
+        let is_about_request = self.kind == MessageKind::Request
+            && (is_one_of(&PROTOCOL_HEADERS) || head.header_values(name).next().is_some());
+        if is_one_of(&FORBIDDEN_TRAILERS) || is_about_request { Err(ParseError::Malformed) } else { Ok(()) }
     }
 
     fn append_to_body(&mut self, bytes: &[u8]) -> Result<(), ParseError> {
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -18,7 +18,7 @@
 
 pub use endpoint_list::{EndpointEntry, EndpointListUpdate, EndpointState, SkippedEntry};
 pub use headers::Headers;
-pub use message::{Message, MessageHead, MessageKind, ParseError};
+pub use message::{Message, MessageHead, MessageKind, PROTOCOL_HEADERS, ParseError};
 pub use message_decoder::MessageDecoder;
 pub use parser::{MessagePart, Parser};
 pub use request_defect::RequestDefect;
--- a/crates/node/src/http/parser.rs
+++ b/crates/node/src/http/parser.rs
@@ -22,6 +22,8 @@
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 1024;
 /// Largest body part that is returned at once for a body that lasts until the connection ends, in bytes.
 const MAX_BODY_PART_BYTES: usize = 64 * 1024;
+/// The method of requests that have a body.
+const WRITE_METHOD: &str = "PUT";
 /// Bytes of empty lines that are accepted before a request.
 const MAX_LEADING_BYTES: usize = 8;
 
@@ -243,6 +245,11 @@
         // One more byte for the carriage return.
         let max_with_return = max + 1;
         let Some(end) = input.find(b'\n', self.searched) else {
+            // A line break may be on its way behind the last byte only.
+            let last = input.len().saturating_sub(1);
+            if input.find(b'\r', self.searched.saturating_sub(1)).is_some_and(|at| at < last) {
+                return Err(ParseError::Malformed);
+            }
             self.searched = input.len();
             return if input.len() > max_with_return { Err(too_long) } else { Ok(None) };
         };
@@ -322,6 +329,8 @@
             }
             ([_, ..], None) => Err(ParseError::Malformed),
             ([], Some(length)) => Ok(State::FixedLengthBody(length)),
+            // What follows could be the body as well as another request.
+            ([], None) if is_request && head.method == WRITE_METHOD => Err(ParseError::LengthRequired),
             ([], None) if is_request => Ok(State::FixedLengthBody(0)),
             ([], None) => {
                 head.keep_alive = false;
--- a/crates/node/src/http/request_defect.rs
+++ b/crates/node/src/http/request_defect.rs
@@ -22,9 +22,23 @@
     InvalidConnection,
     /// The `Connection` header names a header that is meant for every hop, which a hop would remove.
     ConnectionNamesEndToEndHeader,
+    /// A read has a body.
+    BodyOfRead,
+    /// `Expect` has another expectation than `100-continue`.
+    UnknownExpectation,
+    /// `TE` names the coding `chunked`, which a client must not name there.
+    ChunkedInTe,
 }
 
 impl RequestDefect {
+    /// The status of the response.
+    pub fn status(self) -> u16 {
+        match self {
+            RequestDefect::UnknownExpectation => 417,
+            _ => 400,
+        }
+    }
+
     /// The name of the defect in the log.
     pub fn name(self) -> &'static str {
         match self {
@@ -36,6 +50,9 @@
             RequestDefect::ConflictingHost => "conflicting-host",
             RequestDefect::InvalidConnection => "invalid-connection",
             RequestDefect::ConnectionNamesEndToEndHeader => "connection-names-end-to-end-header",
+            RequestDefect::BodyOfRead => "body-of-read",
+            RequestDefect::UnknownExpectation => "unknown-expectation",
+            RequestDefect::ChunkedInTe => "chunked-in-te",
         }
     }
 }
--- a/crates/node/src/http/request_target.rs
+++ b/crates/node/src/http/request_target.rs
@@ -9,6 +9,9 @@
 const SCHEME: &str = "http://";
 /// The target of a request about the server as a whole (RFC 9112, 3.2.4).
 const ASTERISK: &str = "*";
+const HEXADECIMAL: u32 = 16;
+/// A slash, percent-encoded.
+const ENCODED_SLASH: &str = "%2f";
 /// A dot, percent-encoded.
 const ENCODED_DOT: &str = "%2e";
 
@@ -31,14 +34,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the text is not valid, or if hops could find different paths in it: in segments `.` and `..`,
-    /// which some hops resolve, and in `//` at the begin, after which some hops expect a host.
+    /// Fails if the text is not valid, has a percent-encoded control character, or if hops could find different
+    /// paths in it: in segments `.` and `..`, which some hops resolve, and in empty segments, which some hops drop.
     pub fn parse(text: &str) -> Result<RequestTarget, RequestDefect> {
-        if text != ASTERISK && !is_path_and_query(text) {
+        if text != ASTERISK && (!is_path_and_query(text) || has_encoded_control(text)) {
             return Err(RequestDefect::InvalidTarget);
         }
         let target = RequestTarget { path_and_query: text.into() };
-        if text.starts_with("//") || target.path_segments().any(is_dot_segment) {
+        if target.has_empty_segment() || target.path_segments().any(is_dot_segment) {
             return Err(RequestDefect::AmbiguousPath);
         }
         Ok(target)
@@ -61,15 +64,28 @@
         Ok(ParsedTarget { target, authority: Some(authority) })
     }
 
+    /// Whether a segment of the path has a percent-encoded slash.
+    pub fn has_encoded_slash(&self) -> bool {
+        self.path_segments().any(|segment| segment.to_ascii_lowercase().contains(ENCODED_SLASH))
+    }
+
     /// The path and query, as they are forwarded.
     pub fn as_str(&self) -> &str {
         &self.path_and_query
     }
 
-    /// The non-empty segments of the path, without the query.
+    /// The segments of the path, without the query. The path `/` has none.
     pub fn path_segments(&self) -> impl DoubleEndedIterator<Item = &str> {
-        let path = self.path_and_query.split('?').next().unwrap_or_default();
-        path.split('/').filter(|segment| !segment.is_empty())
+        self.path().split('/').filter(|segment| !segment.is_empty())
+    }
+
+    fn path(&self) -> &str {
+        self.path_and_query.split('?').next().unwrap_or_default()
+    }
+
+    fn has_empty_segment(&self) -> bool {
+        let segments = self.path().strip_prefix('/').filter(|segments| !segments.is_empty());
+        segments.is_some_and(|segments| segments.split('/').any(str::is_empty))
     }
 
     /// The allocated memory, in bytes.
@@ -84,6 +100,12 @@
     }
 }
 
+/// Whether there is a percent-encoded control character. The percent-encodings must be valid.
+fn has_encoded_control(text: &str) -> bool {
+    let mut encodings = text.split('%').skip(1).map(|rest| u8::from_str_radix(&rest[..2], HEXADECIMAL));
+    encodings.any(|byte| byte.is_ok_and(|byte| byte.is_ascii_control()))
+}
+
 /// Whether a hop may resolve the segment as the current or the parent directory (RFC 3986, 5.2.4 and 6.2.2.2).
 fn is_dot_segment(segment: &str) -> bool {
     let decoded = segment.to_ascii_lowercase().replace(ENCODED_DOT, ".");
--- a/crates/node/src/http/request_validation.rs
+++ b/crates/node/src/http/request_validation.rs
@@ -9,6 +9,8 @@
 /// another request than the others.
 const END_TO_END_HEADERS: [&str; 3] = ["content-length", "host", "transfer-encoding"];
 
+const READ_METHOD: &str = "GET";
+
 /// Validates the head of a request and sets its target.
 ///
 /// # Errors
@@ -21,6 +23,11 @@
 ) -> Result<(), RequestDefect> {
     let host = parse_host(head, is_http_1_1)?;
     validate_connection(head)?;
+    validate_body(head)?;
+    validate_expectations(head)?;
+    if head.has_token("te", "chunked") {
+        return Err(RequestDefect::ChunkedInTe);
+    }
     let parsed = RequestTarget::parse_any_form(target)?;
     match (&host, &parsed.authority) {
         (Some(host), Some(authority)) if !host.is_same(authority) => {
@@ -46,6 +53,21 @@
     HostAndPort::parse(text).map(Some).ok_or(RequestDefect::InvalidHost)
 }
 
+/// A body of a read has no meaning (RFC 9110, 9.3.1). A length of zero is no body.
+fn validate_body(head: &MessageHead) -> Result<(), RequestDefect> {
+    if head.method != READ_METHOD {
+        return Ok(());
+    }
+    let is_empty = head.header_text("content-length").is_none_or(|length| length.bytes().all(|b| b == b'0'));
+    let is_chunked = head.header_values("transfer-encoding").next().is_some();
+    if is_empty && !is_chunked { Ok(()) } else { Err(RequestDefect::BodyOfRead) }
+}
+
+fn validate_expectations(head: &MessageHead) -> Result<(), RequestDefect> {
+    let is_known = |expectation: &[u8]| expectation.eq_ignore_ascii_case(b"100-continue");
+    if head.list_elements("expect").all(is_known) { Ok(()) } else { Err(RequestDefect::UnknownExpectation) }
+}
+
 fn validate_connection(head: &MessageHead) -> Result<(), RequestDefect> {
     for option in head.list_elements("connection") {
         if !option.is_empty() && !is_token(option) {
--- a/crates/node/src/http/syntax/host.rs
+++ b/crates/node/src/http/syntax/host.rs
@@ -2,11 +2,10 @@
 
 use std::net::Ipv6Addr;
 
-use super::{is_percent_encoded, is_sub_delimiter, is_unreserved};
-
 /// A host with an optional port, as in the `Host` header.
 ///
-/// Invariant: the text is valid by the syntax of URIs, and the host is not empty, since an `http` URI has one.
+/// Invariant: the host is an IP address or a name of letters, digits, `-`, `.` and `_`, and is not empty. The syntax of
+/// URIs allows more in a name, by which hops could read several hosts or another one.
 #[derive(Clone, Debug)]
 pub struct HostAndPort {
     text: Box<str>,
@@ -17,7 +16,7 @@
     pub fn parse(text: &str) -> Option<HostAndPort> {
         let (host, port) = split_port(text)?;
         let is_host = match host.strip_prefix('[') {
-            Some(literal) => is_ip_literal(literal.strip_suffix(']')?),
+            Some(literal) => literal.strip_suffix(']')?.parse::<Ipv6Addr>().is_ok(),
             None => is_name(host),
         };
         (is_host && is_port(port)).then(|| HostAndPort { text: text.into() })
@@ -28,6 +27,11 @@
         &self.text
     }
 
+    /// Whether there is a colon and no port behind it.
+    pub fn has_empty_port(&self) -> bool {
+        self.text.ends_with(':')
+    }
+
     /// Whether both name the same host and port. Names of hosts are case-insensitive.
     pub fn is_same(&self, other: &HostAndPort) -> bool {
         self.text.eq_ignore_ascii_case(&other.text)
@@ -52,17 +56,8 @@
     is_number && (port.is_empty() || port.parse::<u16>().is_ok())
 }
 
-/// Whether the text is a registered name or an IPv4 address, which has the form of a registered name.
+/// Whether the text is a name or an IPv4 address, which has the form of a name.
 fn is_name(host: &str) -> bool {
-    let is_name_byte = |byte| is_unreserved(byte) || is_sub_delimiter(byte);
-    !host.is_empty() && is_percent_encoded(host.as_bytes(), is_name_byte)
-}
-
-/// Whether the text between brackets is an IPv6 address, or an address of a later version.
-fn is_ip_literal(literal: &str) -> bool {
-    let Some(future) = literal.strip_prefix(['v', 'V']) else { return literal.parse::<Ipv6Addr>().is_ok() };
-    let Some((version, address)) = future.split_once('.') else { return false };
-    let is_version = !version.is_empty() && version.bytes().all(|byte| byte.is_ascii_hexdigit());
-    let is_address_byte = |byte| is_unreserved(byte) || is_sub_delimiter(byte) || byte == b':';
-    is_version && !address.is_empty() && address.bytes().all(is_address_byte)
+    let is_name_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"-._".contains(&byte);
+    !host.is_empty() && host.bytes().all(is_name_byte)
 }
--- a/crates/node/src/http/syntax/mod.rs
+++ b/crates/node/src/http/syntax/mod.rs
@@ -9,10 +9,9 @@
 
 pub(super) use self::chunk::parse_chunk_size;
 pub use self::host::HostAndPort;
-pub(super) use self::uri::{is_path_and_query, is_percent_encoded, is_sub_delimiter, is_unreserved};
+pub(super) use self::uri::is_path_and_query;
 
-/// Largest number of digits of a length, without leading zeros: far more than any body needs, and too few to
-/// overflow.
+/// Largest number of digits of a length, with leading zeros: far more than any body needs, and too few to overflow.
 const MAX_LENGTH_DIGITS: usize = 15;
 
 const DECIMAL: u32 = 10;
@@ -78,16 +77,15 @@
     Ok((name, value))
 }
 
-/// The body length that the head announces, if any. Several `Content-Length` headers have to agree.
+/// The body length that the head announces, if any. A header that is repeated is refused, also if the lengths agree
+/// (RFC 9110, 8.6 leaves that to the recipient).
 pub(super) fn parse_content_length(head: &MessageHead) -> Result<Option<usize>, ParseError> {
-    let mut lengths = head.header_values("content-length").map(|value| parse_length(value, DECIMAL));
-    let first = lengths.next().transpose()?;
-    for other in lengths {
-        if Some(other?) != first {
-            return Err(ParseError::Malformed);
-        }
+    let mut lengths = head.header_values("content-length");
+    let Some(length) = lengths.next() else { return Ok(None) };
+    if lengths.next().is_some() {
+        return Err(ParseError::Malformed);
     }
-    Ok(first)
+    parse_length(length, DECIMAL).map(Some)
 }
 
 /// Parses a length that consists only of digits of this radix.
@@ -97,10 +95,8 @@
     if !is_number {
         return Err(ParseError::Malformed);
     }
-    let significant = text.trim_start_matches('0');
-    match significant.len() {
-        0 => Ok(0),
-        count if count > MAX_LENGTH_DIGITS => Err(ParseError::BodyTooLarge),
-        _ => usize::from_str_radix(significant, radix).map_err(|_| ParseError::Malformed),
+    if text.len() > MAX_LENGTH_DIGITS {
+        return Err(ParseError::BodyTooLarge);
     }
+    usize::from_str_radix(text, radix).map_err(|_| ParseError::Malformed)
 }
--- a/crates/node/src/http/syntax/uri.rs
+++ b/crates/node/src/http/syntax/uri.rs
@@ -1,17 +1,17 @@
 //! The characters of a URI (RFC 3986).
 
 /// Whether the byte stands for itself in every part of a URI (RFC 3986, 2.3).
-pub(in crate::http) fn is_unreserved(byte: u8) -> bool {
+fn is_unreserved(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || b"-._~".contains(&byte)
 }
 
 /// Whether the byte may separate the parts of a component (RFC 3986, 2.2).
-pub(in crate::http) fn is_sub_delimiter(byte: u8) -> bool {
+fn is_sub_delimiter(byte: u8) -> bool {
     b"!$&'()*+,;=".contains(&byte)
 }
 
 /// Whether the text consists of bytes that `is_allowed` and of percent-encoded bytes (RFC 3986, 2.1).
-pub(in crate::http) fn is_percent_encoded(text: &[u8], is_allowed: impl Fn(u8) -> bool) -> bool {
+fn is_percent_encoded(text: &[u8], is_allowed: impl Fn(u8) -> bool) -> bool {
     let mut rest = text;
     while let Some((byte, after)) = rest.split_first() {
         rest = match (byte, after) {
--- a/crates/node/src/proxy/client_request_id.rs
+++ b/crates/node/src/proxy/client_request_id.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 
+/// The most characters of an identifier. Common ones, such as UUIDs and trace identifiers, have at most 64.
+const MAX_LENGTH: usize = 256;
+
 /// A client's identifier for a request, by which cache servers know the request too.
 ///
-/// Invariant: the identifier is not empty and consists of visible ASCII characters other than a comma. Header
-/// fields of the same name may be joined with commas, so that hops could read such an identifier as two.
+/// Invariant: the identifier has 1 to [`MAX_LENGTH`] visible ASCII characters other than a comma. Header fields of the
+/// same name may be joined with commas, so that hops could read such an identifier as two.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ClientRequestId(Box<str>);
 
@@ -13,7 +16,7 @@
     /// Parses an identifier; `None` if the text is none.
     pub fn parse(text: &str) -> Option<ClientRequestId> {
         let is_valid = |byte: u8| byte.is_ascii_graphic() && byte != b',';
-        let is_identifier = !text.is_empty() && text.bytes().all(is_valid);
+        let is_identifier = (1..=MAX_LENGTH).contains(&text.len()) && text.bytes().all(is_valid);
         is_identifier.then(|| ClientRequestId(text.into()))
     }
 
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -20,7 +20,6 @@
 
 use granitelb_balancer::LocalReply;
 use granitelb_balancer::time::{Span, Time};
-use granitelb_settings::Names;
 
 use self::client::{Client, ClientState};
 use self::client_limits::ClientLimits;
@@ -28,6 +27,7 @@
 use self::memory_budget::MemoryBudget;
 pub use self::pipeline::{Pipeline, PipelineEntry, READ_AHEAD_BYTES, ReadAheadLimits};
 use self::rejection::Rejection;
+pub(super) use self::request_decoder::RequestClassTerms;
 use self::request_decoder::RequestDecoder;
 use self::requests::write_with_retry_after;
 use self::turn_budget::TurnBudget;
@@ -76,8 +76,7 @@
     pub(super) fn new(
         owner: Owner,
         limits: ResourceLimits,
-        names: Names,
-        client_timeouts: Vec<Span>,
+        classes: Vec<RequestClassTerms>,
         retry_after: Span,
     ) -> Downstream {
         let memory = MemoryBudget::within(limits.memory);
@@ -88,7 +87,7 @@
             limits: ClientLimits::within(limits.connections, memory.max_clients()),
             memory,
             turn_budget: TurnBudget::default(),
-            decoder: RequestDecoder::new(names, client_timeouts),
+            decoder: RequestDecoder::new(classes),
             retry_after,
             shutdown_deadline: None,
             closes_idle: false,
@@ -100,9 +99,9 @@
         self.turn_budget = TurnBudget::default();
     }
 
-    /// Replaces the request classes, their timeouts and the `Retry-After` time.
-    pub(super) fn on_settings_update(&mut self, names: Names, client_timeouts: Vec<Span>, retry_after: Span) {
-        self.decoder = RequestDecoder::new(names, client_timeouts);
+    /// Replaces the terms of the request classes and the `Retry-After` time.
+    pub(super) fn on_settings_update(&mut self, classes: Vec<RequestClassTerms>, retry_after: Span) {
+        self.decoder = RequestDecoder::new(classes);
         self.retry_after = retry_after;
     }
 
--- a/crates/node/src/proxy/downstream/rejection.rs
+++ b/crates/node/src/proxy/downstream/rejection.rs
@@ -30,7 +30,7 @@
     pub(super) fn status(self) -> u16 {
         match self {
             Rejection::Unparsable(error) => error.status(),
-            Rejection::Defective(_) => 400,
+            Rejection::Defective(defect) => defect.status(),
             Rejection::NotServed(error) => error.status(),
             // The request may have been executed, so that the response must not promise the opposite.
             Rejection::RequestId(RequestIdError::Pending | RequestIdError::Held | RequestIdError::Used) => {
@@ -60,6 +60,7 @@
             Rejection::Unparsable(ParseError::Malformed) => "malformed",
             Rejection::Unparsable(ParseError::HeadTooLarge) => "head-too-large",
             Rejection::Unparsable(ParseError::BodyTooLarge) => "body-too-large",
+            Rejection::Unparsable(ParseError::LengthRequired) => "length-required",
             Rejection::Defective(defect) => defect.name(),
             Rejection::NotServed(error) => error.name(),
             Rejection::RequestId(RequestIdError::Pending) => "request-id-pending",
--- a/crates/node/src/proxy/downstream/request_decoder.rs
+++ b/crates/node/src/proxy/downstream/request_decoder.rs
@@ -1,23 +1,24 @@
 //! Decodes a client's request from the head of its message.
 //!
-//! Invariant: each header that the protocol between clients and nodes names occurs at most once and is valid;
-//! otherwise the request is refused, since hops could read it differently. Other headers are free.
+//! Invariant: each header that the protocol between clients and nodes names is there if the protocol demands it, occurs
+//! at most once, and has a value that the protocol has clients send. Other headers are free.
 
 use granitelb_balancer::Request;
 use granitelb_balancer::ids::{Key, RequestClassId};
+use granitelb_balancer::settings::Effect;
 use granitelb_balancer::time::Span;
-use granitelb_settings::Names;
+use granitelb_settings::DecodedSettings;
 
 use super::request_attributes::are_valid_attributes;
-use crate::http::MessageHead;
+use crate::http::{MessageHead, PROTOCOL_HEADERS};
 use crate::proxy::client_request_id::ClientRequestId;
 use crate::proxy::stable_hash::stable_hash;
 
 const MICROS_PER_MILLI: u64 = 1000;
-
-/// The headers that the protocol names. A hop that finds one of them in `Connection` would remove it.
-const END_TO_END_HEADERS: [&str; 7] =
-    ["idempotency-key", "x-attrs", "x-cost", "x-priority-class", "x-request-id", "x-retried", "x-timeout-ms"];
+/// No client waits longer than this many milliseconds: a day.
+const MAX_TIMEOUT_MS: u64 = 24 * 60 * 60 * 1000;
+/// The value of `X-Retried` in retries of a client.
+const RETRY_MARK: &str = "1";
 
 /// Why a message is not a request that the node serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,12 +31,20 @@
     InvalidRequestId,
     /// `X-Priority-Class` is repeated or names another class than the path.
     AmbiguousClass,
-    /// `X-Timeout-Ms` is repeated, or is no number above zero.
+    /// There is no `X-Priority-Class`.
+    MissingClass,
+    /// `X-Timeout-Ms` is repeated, or is no number above zero that a client may wait.
     InvalidTimeout,
+    /// There is no `X-Timeout-Ms`.
+    MissingTimeout,
     /// `Idempotency-Key` is repeated or empty.
     InvalidIdempotencyKey,
-    /// `X-Retried` is repeated or is no number.
+    /// A write of a class whose repeats are recognized by their key has no `Idempotency-Key`.
+    MissingIdempotencyKey,
+    /// `X-Retried` is repeated or has another value than the mark of a retry.
     InvalidRetryMark,
+    /// `X-Cost` is repeated or is no number.
+    InvalidWorkHint,
     /// `X-Attrs` is repeated or violates its syntax.
     InvalidAttributes,
     /// `Connection` names a header that the protocol names.
@@ -59,9 +68,13 @@
             RequestError::NotFound => "not-found",
             RequestError::InvalidRequestId => "invalid-request-id",
             RequestError::AmbiguousClass => "ambiguous-class",
+            RequestError::MissingClass => "missing-class",
             RequestError::InvalidTimeout => "invalid-timeout",
+            RequestError::MissingTimeout => "missing-timeout",
             RequestError::InvalidIdempotencyKey => "invalid-idempotency-key",
+            RequestError::MissingIdempotencyKey => "missing-idempotency-key",
             RequestError::InvalidRetryMark => "invalid-retry-mark",
+            RequestError::InvalidWorkHint => "invalid-work-hint",
             RequestError::InvalidAttributes => "invalid-attributes",
             RequestError::ConnectionNamesEndToEndHeader => "connection-names-end-to-end-header",
         }
@@ -76,17 +89,40 @@
     pub(super) client_request_id: ClientRequestId,
 }
 
+/// What the settings tell about the requests of a class.
+#[derive(Clone, Debug)]
+pub(in crate::proxy) struct RequestClassTerms {
+    name: String,
+    /// The longest time that a client waits.
+    client_timeout: Span,
+    /// Whether repeats are recognized by their `Idempotency-Key`.
+    is_keyed: bool,
+}
+
+impl RequestClassTerms {
+    /// The terms of all request classes.
+    pub(in crate::proxy) fn from_settings(settings: &DecodedSettings) -> Vec<RequestClassTerms> {
+        let classes = &settings.balancer_settings.request_classes;
+        let terms = settings.names.request_classes.iter().zip(&settings.client_timeouts).zip(classes);
+        terms
+            .map(|((name, client_timeout), class)| RequestClassTerms {
+                name: name.clone(),
+                client_timeout: *client_timeout,
+                is_keyed: matches!(class.effect, Effect::Deduplicated { .. }),
+            })
+            .collect()
+    }
+}
+
 /// Decodes requests of the classes that the settings name.
 pub(super) struct RequestDecoder {
-    names: Names,
-    /// The longest time that a client waits, by request class.
-    client_timeouts: Vec<Span>,
+    classes: Vec<RequestClassTerms>,
 }
 
 impl RequestDecoder {
-    /// Creates a decoder for the request classes in `names`, with one timeout for each class.
-    pub(super) fn new(names: Names, client_timeouts: Vec<Span>) -> RequestDecoder {
-        RequestDecoder { names, client_timeouts }
+    /// Creates a decoder for requests of these classes.
+    pub(super) fn new(classes: Vec<RequestClassTerms>) -> RequestDecoder {
+        RequestDecoder { classes }
     }
 
     /// Decodes a request.
@@ -100,36 +136,39 @@
             "PUT" => true,
             _ => return Err(RequestError::MethodNotAllowed),
         };
-        let request_class = self.decode_request_class(head)?;
+        let (request_class, terms) = self.decode_request_class(head)?;
         let client_request_id = decode_request_id(head)?;
         let timeout = decode_timeout(head)?;
-        validate_forwarded_headers(head)?;
+        let work = decode_work_hint(head)?;
+        validate_forwarded_headers(head, write && terms.is_keyed)?;
         // A client waits at most for the timeout of its request class, whatever its header says about one
         // attempt.
-        let max_timeout = self.client_timeouts[request_class];
-        let client_timeout = timeout.map_or(max_timeout, |timeout| timeout.min(max_timeout));
+        let max_timeout = terms.client_timeout;
         let key = head.target.path_segments().next_back().unwrap_or_default();
         let request = Request {
-            request_class: RequestClassId(request_class as u16),
+            request_class,
             key: Key(stable_hash(key.as_bytes())),
-            client_timeout,
-            work: decode_work_hint(head).map(|work| work.min(max_timeout)),
+            client_timeout: timeout.min(max_timeout),
+            work: work.map(|work| work.min(max_timeout)),
             write,
         };
         Ok(DecodedRequest { request, client_request_id })
     }
 
-    /// The index of the request class, which the first segment of the path names. Cache servers also read the
-    /// class from the path, and would reject a class that only a header names.
-    fn decode_request_class(&self, head: &MessageHead) -> Result<usize, RequestError> {
+    /// The request class, which both the first segment of the path and a header name. Cache servers read the class
+    /// from the path, and would reject a class that only the header names.
+    fn decode_request_class(
+        &self,
+        head: &MessageHead,
+    ) -> Result<(RequestClassId, &RequestClassTerms), RequestError> {
         let class = head.target.path_segments().next().ok_or(RequestError::NotFound)?;
-        let index = self.names.request_classes.iter().position(|name| name == class);
+        let index = self.classes.iter().position(|terms| terms.name == class);
         let index = index.ok_or(RequestError::NotFound)?;
         let named_by_header = head.single_header("x-priority-class").or(Err(RequestError::AmbiguousClass))?;
-        if named_by_header.is_some_and(|named| named != class) {
+        if named_by_header.ok_or(RequestError::MissingClass)? != class {
             return Err(RequestError::AmbiguousClass);
         }
-        Ok(index)
+        Ok((RequestClassId(index as u16), &self.classes[index]))
     }
 }
 
@@ -138,29 +177,32 @@
     text.and_then(ClientRequestId::parse).ok_or(RequestError::InvalidRequestId)
 }
 
-/// The time that the client waits, if it states one. A time of zero is malformed, since no response could
-/// arrive within it.
-fn decode_timeout(head: &MessageHead) -> Result<Option<Span>, RequestError> {
+/// The time that the client waits. A time of zero is malformed, since no response could arrive within it.
+fn decode_timeout(head: &MessageHead) -> Result<Span, RequestError> {
     let text = head.single_header("x-timeout-ms").or(Err(RequestError::InvalidTimeout))?;
-    let Some(text) = text else { return Ok(None) };
-    match parse_number(text) {
-        Some(0) | None => Err(RequestError::InvalidTimeout),
-        Some(ms) => Ok(Some(Span(ms.saturating_mul(MICROS_PER_MILLI)))),
+    match parse_number(text.ok_or(RequestError::MissingTimeout)?) {
+        Some(ms @ 1..=MAX_TIMEOUT_MS) => Ok(Span(ms * MICROS_PER_MILLI)),
+        _ => Err(RequestError::InvalidTimeout),
     }
 }
 
-/// The client's estimate of the work, if there is one. The estimate is only a hint: a value that cannot be
-/// parsed is ignored. The caller limits it to the longest time that a client of the class waits, since the
-/// budgets of all endpoints would follow a hint without a bound.
-fn decode_work_hint(head: &MessageHead) -> Option<Span> {
-    let text = head.single_header("x-cost").ok().flatten();
-    text.and_then(parse_number).map(Span)
+/// The client's estimate of the work in microseconds, if there is one. The caller limits it to the longest time that
+/// a client of the class waits, since the budgets of all endpoints would follow a hint without a bound. An estimate
+/// that is no whole number, or is too large to be parsed, is ignored.
+fn decode_work_hint(head: &MessageHead) -> Result<Option<Span>, RequestError> {
+    let text = head.single_header("x-cost").or(Err(RequestError::InvalidWorkHint))?;
+    let Some(text) = text else { return Ok(None) };
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    if !is_number(whole) || !is_number(fraction) {
+        return Err(RequestError::InvalidWorkHint);
+    }
+    Ok(parse_number(text).map(Span))
 }
 
 /// Validates the headers that the node only forwards.
-fn validate_forwarded_headers(head: &MessageHead) -> Result<(), RequestError> {
+fn validate_forwarded_headers(head: &MessageHead, requires_key: bool) -> Result<(), RequestError> {
     let is_end_to_end =
-        |option: &[u8]| END_TO_END_HEADERS.iter().any(|name| option.eq_ignore_ascii_case(name.as_bytes()));
+        |option: &[u8]| PROTOCOL_HEADERS.iter().any(|name| option.eq_ignore_ascii_case(name.as_bytes()));
     if head.list_elements("connection").any(is_end_to_end) {
         return Err(RequestError::ConnectionNamesEndToEndHeader);
     }
@@ -168,8 +210,11 @@
     if key.is_some_and(str::is_empty) {
         return Err(RequestError::InvalidIdempotencyKey);
     }
+    if requires_key && key.is_none() {
+        return Err(RequestError::MissingIdempotencyKey);
+    }
     let retried = head.single_header("x-retried").or(Err(RequestError::InvalidRetryMark))?;
-    if retried.is_some_and(|mark| parse_number(mark).is_none()) {
+    if retried.is_some_and(|mark| mark != RETRY_MARK) {
         return Err(RequestError::InvalidRetryMark);
     }
     let attributes = head.single_header("x-attrs").or(Err(RequestError::InvalidAttributes))?;
@@ -181,8 +226,11 @@
 
 /// Parses a number that consists only of digits.
 fn parse_number(text: &str) -> Option<u64> {
-    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
-    text.parse().ok().filter(|_| is_number)
+    if is_number(text) { text.parse().ok() } else { None }
+}
+
+fn is_number(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
 }
 
 #[cfg(test)]
--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -18,7 +18,7 @@
 use self::shutdown::Shutdown;
 use super::balancer_driver::{BalancerDriver, ProxyContext};
 use super::discovery_watch::{DiscoveryWatch, WatchEvent};
-use super::downstream::Downstream;
+use super::downstream::{Downstream, RequestClassTerms};
 use super::endpoint_directory::EndpointDirectory;
 use super::observation_recorder::ObservationRecorder;
 use super::request_ids::RepeatPolicy;
@@ -69,13 +69,13 @@
         let mut transport = Transport::new(limits.connections)?;
         let listener = Listener::open(&mut transport, listen, LISTENER)?;
         let now = transport.now();
+        let classes = RequestClassTerms::from_settings(&settings);
         let DecodedSettings { balancer_settings, names, client_timeouts, .. } = settings;
         let is_list_pushed = !balancer_settings.list_on_request;
         let retry_after = balancer_settings.max_retry_after;
         let longest_client_timeout = longest(&client_timeouts);
-        let mut requests = RequestTable::new(limits.memory);
-        requests.set_repeat_policy(RepeatPolicy::new(&balancer_settings, longest_client_timeout));
-        requests.set_load_report_header(reloadable.load_report_header);
+        let repeat_policy = RepeatPolicy::new(&balancer_settings, longest_client_timeout);
+        let requests = RequestTable::new(limits.memory, repeat_policy, reloadable.load_report_header);
         let recorder = start_agent(&transport, control_plane_agent, &balancer_settings)?;
         let directory = EndpointDirectory::new(names.clone(), balancer_settings.only_draining_excludes);
         let balancer = Balancer::new(balancer_settings, seed, now);
@@ -84,7 +84,7 @@
         let connect_timeout = reloadable.connect_timeout;
         let mut node = Node {
             longest_client_timeout,
-            downstream: Downstream::new(DOWNSTREAM, limits, names, client_timeouts, retry_after),
+            downstream: Downstream::new(DOWNSTREAM, limits, classes, retry_after),
             upstream: Upstream::new(UPSTREAM, connect_timeout, reloadable.keepalive),
             watch: DiscoveryWatch::new(DISCOVERY, discovery, connect_timeout, revision),
             driver: BalancerDriver::new(balancer, directory, recorder),
@@ -179,6 +179,7 @@
 
     /// Applies changed settings. State that was learnt under the former settings is kept.
     fn apply_settings(&mut self, now: Time, settings: DecodedSettings) {
+        let classes = RequestClassTerms::from_settings(&settings);
         let DecodedSettings { balancer_settings, names, client_timeouts, .. } = settings;
         log::info!(
             event = "settings_applied";
@@ -188,7 +189,7 @@
         self.longest_client_timeout = longest(&client_timeouts);
         let repeat_policy = RepeatPolicy::new(&balancer_settings, self.longest_client_timeout);
         self.requests.set_repeat_policy(repeat_policy);
-        self.downstream.on_settings_update(names.clone(), client_timeouts, balancer_settings.max_retry_after);
+        self.downstream.on_settings_update(classes, balancer_settings.max_retry_after);
         self.driver.on_settings_update(now, balancer_settings, names);
     }
 
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -302,9 +302,15 @@
 
 /// For the node.
 impl RequestTable {
-    /// Creates an empty table for a node with this memory limit in bytes.
-    pub(super) fn new(memory: usize) -> RequestTable {
-        let mut table = RequestTable::default();
+    /// Creates an empty table for a node with this memory limit in bytes. `load_report_header` is the response header
+    /// that carries load reports.
+    pub(super) fn new(
+        memory: usize,
+        repeat_policy: RepeatPolicy,
+        load_report_header: Option<Box<str>>,
+    ) -> RequestTable {
+        let mut table = RequestTable { load_report_header, ..RequestTable::default() };
+        table.set_repeat_policy(repeat_policy);
         table.set_memory(memory);
         table
     }
--- a/crates/node/tests/control_plane/node_fixture.rs
+++ b/crates/node/tests/control_plane/node_fixture.rs
@@ -260,7 +260,8 @@
     /// Requests a key, and returns the status of the response.
     pub fn request(&mut self, key: &str) -> u16 {
         let head = format!(
-            "GET /read/{key} HTTP/1.1\r\nHost: n\r\nX-Request-ID: {key}\r\nX-Timeout-Ms: 1200\r\n\r\n"
+            "GET /read/{key} HTTP/1.1\r\nHost: n\r\nX-Request-ID: {key}\r\nX-Priority-Class: read\r\n\
+             X-Timeout-Ms: 1200\r\n\r\n"
         );
         self.0.write_all(head.as_bytes()).expect("the node reads");
         let mut received = Vec::new();
--- a/crates/node/tests/scenarios/crowds.rs
+++ b/crates/node/tests/scenarios/crowds.rs
@@ -47,7 +47,7 @@
 fn head(client: usize, request: usize) -> String {
     format!(
         "PUT\\s/post/k{request}\\sHTTP/1.1\\r\\nHost:\\sn\\r\\nX-Request-ID:\\sc{client}-{request}\\r\\n\
-         X-Timeout-Ms:\\s1200\\r\\n"
+         X-Priority-Class:\\spost\\r\\nX-Timeout-Ms:\\s1200\\r\\nIdempotency-Key:\\sc{client}-{request}\\r\\n"
     )
 }
 
@@ -59,7 +59,8 @@
     /// What a client sends, in the notation of scenarios.
     fn text(self, client: usize) -> String {
         let heads = |count: usize, rest: &str| -> String {
-            (0..count).map(|request| format!("{}{rest}\\r\\n", head(client, request))).collect()
+            let rest = format!("{rest}Content-Length:\\s0\\r\\n\\r\\n");
+            (0..count).map(|request| head(client, request) + &rest).collect()
         };
         match self {
             Shape::ShortHeaders => heads(60, &short_headers(90)),
--- a/crates/node/tests/scenarios/harness/clients.rs
+++ b/crates/node/tests/scenarios/harness/clients.rs
@@ -132,10 +132,15 @@
         Some(body) => ("PUT", unescape(body)),
         None => ("GET", Vec::new()),
     };
+    // In a class whose repeats are recognized by their key, a write has one.
+    let key_header = match (method, class) {
+        ("PUT", "post") => format!("Idempotency-Key: {id}\r\n"),
+        _ => String::new(),
+    };
     let close = if options.contains(&"close") { "Connection: close\r\n" } else { "" };
     let head = format!(
         "{method} /{class}/{key} HTTP/1.1\r\nHost: n\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Timeout-Ms: {timeout}\r\nX-Cost: 1000\r\n{close}Content-Length: {}\r\n\r\n",
+         X-Timeout-Ms: {timeout}\r\nX-Cost: 1000\r\n{key_header}{close}Content-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), &body].concat()
--- a/crates/node/tests/scenarios/sound_requests.rs
+++ b/crates/node/tests/scenarios/sound_requests.rs
@@ -47,12 +47,11 @@
 
 fn sound_request() -> impl Strategy<Value = SoundRequest> {
     let target =
-        r"/(read|post)/[A-Za-z0-9._~!$&'()*+,;=:@-]{1,20}(/%[0-9A-Fa-f]{2}x)?(\?[A-Za-z0-9/?:@!&=-]{0,9})?";
+        r"/(read|post)/[A-Za-z0-9._~!$&'()*+,;=:@-]{1,20}(/%[2-6][0-9A-Fa-f]x)?(\?[A-Za-z0-9/?:@!&=-]{0,9})?";
     let host = prop_oneof![r"[a-z0-9.-]{1,20}(:[1-9][0-9]{0,3})?", Just("[::1]:80".to_string())];
     let headers = prop::sample::subsequence(
         vec![
             "X-Cost: 1000",
-            "X-Cost: -5",
             "X-Retried: 1",
             "X-Attrs: a=1,b=2.5",
             "Accept:\t*/* ",
@@ -77,10 +76,27 @@
 
 fn break_of_request() -> impl Strategy<Value = Break> {
     let host = prop::sample::select(vec![
-        "a b", "a/b", "u@h", "h:x", "h:99999", "%zz", "[::1", "", "a, b", "\u{e9}",
+        "a b", "a/b", "u@h", "h:x", "h:99999", "%zz", "[::1", "", "a, b", "a,b", "a%20b", "[v1.a]", "\u{e9}",
     ]);
     let target = prop::sample::select(vec![
-        "%zz", "%", "%1", "#f", "\"", "<", "\\", "^", "`", "{", "|", "/../x", "/%2e",
+        "%zz",
+        "%",
+        "%1",
+        "#f",
+        "\"",
+        "<",
+        "\\",
+        "^",
+        "`",
+        "{",
+        "|",
+        "/../x",
+        "/%2e",
+        "/",
+        "//x",
+        "%00",
+        "%0d%0aA:b",
+        "%7f",
     ]);
     let header = prop::sample::select(vec![
         "X-Timeout-Ms: +1000",
@@ -92,6 +108,7 @@
         "Connection: a b",
         "Idempotency-Key:",
         "X-Attrs: a",
+        "TE: chunked",
     ]);
     let framing = prop::sample::select(vec![
         "Content-Length: +1",
@@ -104,7 +121,13 @@
         "no colon",
     ]);
     let extension = prop::sample::select(vec![";", ";a=", ";a b", ";a\u{1}", " ", ";a=\"b"]);
-    let trailer = prop::sample::select(vec!["Content-Length: 1", "X-Request-ID: a", "Host: h", "a b: c"]);
+    let trailer = prop::sample::select(vec![
+        "Content-Length: 1",
+        "X-Request-ID: a",
+        "Idempotency-Key: a",
+        "Host: h",
+        "a b: c",
+    ]);
     prop_oneof![
         host.prop_map(Break::Host),
         target.prop_map(Break::Target),
@@ -122,8 +145,13 @@
         let method = if self.is_write(broken) { "PUT" } else { "GET" };
         let target = self.format_target(broken);
         let mut text = format!(
-            "{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 1200\r\n"
+            "{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-ID: {id}\r\nX-Priority-Class: {}\r\n\
+             X-Timeout-Ms: 1200\r\n",
+            self.class()
         );
+        if method == "PUT" {
+            write!(text, "Idempotency-Key: {id}\r\n").expect("a text");
+        }
         for header in &self.headers {
             text.push_str(header);
             text.push_str("\r\n");
@@ -146,6 +174,11 @@
         }
     }
 
+    /// The request class, which the first segment of the path names.
+    fn class(&self) -> &str {
+        self.target.split('/').nth(1).unwrap_or_default()
+    }
+
     fn is_write(&self, broken: Option<&Break>) -> bool {
         self.chunks.is_some() || matches!(broken, Some(Break::ChunkExtension(_) | Break::Trailer(_)))
     }
--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -195,13 +195,16 @@
 fn format_read(target: &str, host: &str, id: &str, headers: &str) -> String {
     let timeout =
         if headers.contains("Timeout") { String::new() } else { format!("X-Timeout-Ms: {TIMEOUT_MS}\r\n") };
-    format!("GET {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-ID: {id}\r\n{timeout}{headers}\r\n")
+    format!(
+        "GET {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-ID: {id}\r\nX-Priority-Class: read\r\n\
+         {timeout}{headers}\r\n"
+    )
 }
 
 fn format_write(class: &str, id: &str, body: &str) -> String {
     format!(
-        "PUT /{class}/k HTTP/1.1\r\nHost: n\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: {TIMEOUT_MS}\r\n\
-         Content-Length: {}\r\n\r\n{body}",
+        "PUT /{class}/k HTTP/1.1\r\nHost: n\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Timeout-Ms: {TIMEOUT_MS}\r\nIdempotency-Key: {id}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
 }
