Log the first rejections of each reason at info, and count accepted unusual forms

message_rejected has the request's identifier and class and the client's address now. The first three of each reason between two reports are at level info, the others at debug; the reason of an identifier that came again tells the state of its first request (pending, held, used). Accepted forms that clients usually don't send are an enum, UnusualForm; each is counted by name, and the first three are logged as unusual_request. request_metrics is logged on SIGHUP too, beside once a minute and at the end.

--- a/crates/node/src/http/heap_size.rs
+++ b/crates/node/src/http/heap_size.rs
@@ -9,7 +9,7 @@
 
 /// The memory in bytes that an allocation of this capacity takes, with what the allocator adds to it. A short text
 /// takes several times its length.
-pub(super) fn allocation_bytes(capacity: usize) -> usize {
+pub(crate) fn allocation_bytes(capacity: usize) -> usize {
     match capacity {
         0 => 0,
         capacity => (capacity + ALLOCATION_OVERHEAD).next_multiple_of(ALLOCATION_UNIT).max(MIN_ALLOCATION),
--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -76,6 +76,11 @@
         std::str::from_utf8(value).map(Some).or(Err(ParseError::Malformed))
     }
 
+    /// Whether the header is present.
+    pub fn has_header(&self, name: &str) -> bool {
+        self.headers.iter().any(|(n, _)| n.eq_ignore_ascii_case(name))
+    }
+
     /// All values of a header, in the order of the message.
     pub fn header_values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -18,6 +18,7 @@
 
 pub use endpoint_list::{EndpointEntry, EndpointListUpdate, EndpointState, SkippedEntry};
 pub use headers::Headers;
+pub(crate) use heap_size::allocation_bytes;
 pub use message::{Message, MessageHead, MessageKind, PROTOCOL_HEADERS, ParseError};
 pub use message_decoder::MessageDecoder;
 pub use parser::{MessagePart, Parser};
--- a/crates/node/src/proxy/client_request_id.rs
+++ b/crates/node/src/proxy/client_request_id.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::http::{MessageHead, allocation_bytes};
+
 /// The most characters of an identifier. Common ones, such as UUIDs and trace identifiers, have at most 64.
 const MAX_LENGTH: usize = 256;
 
@@ -20,6 +22,16 @@
         is_identifier.then(|| ClientRequestId(text.into()))
     }
 
+    /// The identifier that a request has; `None` if it is missing, repeated or invalid.
+    pub fn of(head: &MessageHead) -> Option<ClientRequestId> {
+        head.single_header("x-request-id").ok().flatten().and_then(ClientRequestId::parse)
+    }
+
+    /// The allocated memory, in bytes.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        allocation_bytes(self.0.len())
+    }
+
     /// The identifier's text.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/node/src/proxy/downstream/advance.rs
+++ b/crates/node/src/proxy/downstream/advance.rs
@@ -6,6 +6,7 @@
 use super::memory_budget::ClientMemory;
 use super::pipeline::{Pipeline, PipelineEntry};
 use super::rejection::Rejection;
+use super::request_log::RequestLabel;
 use super::{Downstream, MESSAGE_TIMEOUT, WRITE_TIMEOUT};
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{CloseReason, ConnectionId};
@@ -118,8 +119,14 @@
                 self.on_message(cx, id, message, arrived_at);
             }
             Some(PipelineEntry::Excess { count }) => self.reject_excess(cx, id, count),
-            Some(PipelineEntry::Defective { defect, keep_alive }) => {
-                self.on_defective_message(cx, id, defect, keep_alive);
+            Some(PipelineEntry::Defective { defect, keep_alive, request_id }) => {
+                self.begin_message(cx, id, keep_alive);
+                self.reject_request(
+                    cx,
+                    id,
+                    Rejection::Defective(defect),
+                    &RequestLabel::new(request_id, None),
+                );
             }
             Some(PipelineEntry::OutOfMemory) => self.reject(cx, id, Rejection::Overloaded),
             Some(PipelineEntry::Invalid(error)) => self.reject(cx, id, Rejection::Unparsable(error)),
--- a/crates/node/src/proxy/downstream/mod.rs
+++ b/crates/node/src/proxy/downstream/mod.rs
@@ -13,8 +13,10 @@
 mod rejection;
 mod request_attributes;
 mod request_decoder;
+mod request_log;
 mod requests;
 mod turn_budget;
+mod unusual_form;
 
 use std::collections::BTreeMap;
 
--- a/crates/node/src/proxy/downstream/pipeline.rs
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -13,6 +13,7 @@
 use granitelb_balancer::time::Time;
 
 use crate::http::{Message, MessageDecoder, MessageHead, MessageKind, ParseError, RequestDefect};
+use crate::proxy::client_request_id::ClientRequestId;
 use crate::transport::RingBuffer;
 
 /// The most memory, in bytes, for what a client has sent ahead. A message of the maximum length fits.
@@ -64,6 +65,8 @@
         defect: RequestDefect,
         /// Whether the client keeps the connection open after the message.
         keep_alive: bool,
+        /// The client's identifier for the message, if it has a valid one.
+        request_id: Option<ClientRequestId>,
     },
     /// Input that was dropped for lack of memory before its message was complete. Nothing behind it can be read.
     OutOfMemory,
@@ -76,10 +79,10 @@
     fn allocated_bytes(&self) -> usize {
         match self {
             PipelineEntry::Request { message, .. } => message.allocated_bytes(),
-            PipelineEntry::Defective { .. }
-            | PipelineEntry::Excess { .. }
-            | PipelineEntry::OutOfMemory
-            | PipelineEntry::Invalid(_) => 0,
+            PipelineEntry::Defective { request_id, .. } => {
+                request_id.as_ref().map_or(0, ClientRequestId::allocated_bytes)
+            }
+            PipelineEntry::Excess { .. } | PipelineEntry::OutOfMemory | PipelineEntry::Invalid(_) => 0,
         }
     }
 }
@@ -207,7 +210,10 @@
         let is_discarded = std::mem::take(&mut self.is_discarding);
         let keep_alive = message.head.keep_alive;
         let entry = match message.head.defect {
-            Some(defect) => PipelineEntry::Defective { defect, keep_alive },
+            Some(defect) => {
+                let request_id = ClientRequestId::of(&message.head);
+                PipelineEntry::Defective { defect, keep_alive, request_id }
+            }
             None => PipelineEntry::Request { message, arrived_at },
         };
         let bytes = entry.allocated_bytes();
--- a/crates/node/src/proxy/downstream/request_decoder.rs
+++ b/crates/node/src/proxy/downstream/request_decoder.rs
@@ -125,6 +125,11 @@
         RequestDecoder { classes }
     }
 
+    /// The name of a request class.
+    pub(super) fn class_name(&self, class: RequestClassId) -> Option<&str> {
+        self.classes.get(usize::from(class.0)).map(|terms| &terms.name[..])
+    }
+
     /// Decodes a request.
     ///
     /// # Errors
@@ -137,7 +142,7 @@
             _ => return Err(RequestError::MethodNotAllowed),
         };
         let (request_class, terms) = self.decode_request_class(head)?;
-        let client_request_id = decode_request_id(head)?;
+        let client_request_id = ClientRequestId::of(head).ok_or(RequestError::InvalidRequestId)?;
         let timeout = decode_timeout(head)?;
         let work = decode_work_hint(head)?;
         validate_forwarded_headers(head, write && terms.is_keyed)?;
@@ -172,11 +177,6 @@
     }
 }
 
-fn decode_request_id(head: &MessageHead) -> Result<ClientRequestId, RequestError> {
-    let text = head.single_header("x-request-id").or(Err(RequestError::InvalidRequestId))?;
-    text.and_then(ClientRequestId::parse).ok_or(RequestError::InvalidRequestId)
-}
-
 /// The time that the client waits. A time of zero is malformed, since no response could arrive within it.
 fn decode_timeout(head: &MessageHead) -> Result<Span, RequestError> {
     let text = head.single_header("x-timeout-ms").or(Err(RequestError::InvalidTimeout))?;
--- a/crates/node/src/proxy/downstream/requests.rs
+++ b/crates/node/src/proxy/downstream/requests.rs
@@ -8,8 +8,10 @@
 use super::memory_budget::MemoryBudget;
 use super::rejection::Rejection;
 use super::request_decoder::{DecodedRequest, RequestError};
-use crate::http::{Message, MessageHead, RequestDefect, write_local_reply};
-use crate::proxy::client_request_id::ClientRequestId;
+use super::request_log::{self, ClientLabel, RequestLabel};
+use super::unusual_form::UnusualForm;
+use crate::http::{Message, MessageHead, write_local_reply};
+use crate::proxy::request_table::RefusedRequest;
 use crate::proxy::turn_context::TurnContext;
 use crate::transport::{ConnectionId, RingBuffer};
 
@@ -32,26 +34,37 @@
         let is_overloaded = cx.requests.pending_count() >= self.limits.served || !has_memory;
         match self.decoder.decode(&message.head) {
             Ok(decoded) if is_overloaded => {
-                self.refuse(cx, id, &decoded.client_request_id, Rejection::Overloaded);
+                self.refuse(cx, id, decoded, Rejection::Overloaded);
+            }
+            Ok(decoded) => {
+                self.log_unusual_forms(cx, id, &message.head, &decoded);
+                self.admit(cx, id, arrived_at, decoded, message);
+            }
+            Err(error) => {
+                let label = RequestLabel::of(&message.head);
+                self.reject_request(cx, id, Rejection::NotServed(error), &label);
             }
-            Ok(decoded) => self.admit(cx, id, arrived_at, decoded, message),
-            Err(error) => self.reject(cx, id, Rejection::NotServed(error)),
         }
     }
 
-    /// Answers a complete message that is no valid request.
-    pub(super) fn on_defective_message(
-        &mut self,
+    fn log_unusual_forms(
+        &self,
         cx: &mut TurnContext<'_>,
         id: ConnectionId,
-        defect: RequestDefect,
-        keep_alive: bool,
+        head: &MessageHead,
+        decoded: &DecodedRequest,
     ) {
-        self.begin_message(cx, id, keep_alive);
-        self.reject(cx, id, Rejection::Defective(defect));
+        let Some(client) = self.clients.get(&id) else { return };
+        for form in UnusualForm::of(head, decoded) {
+            let count = cx.requests.count_unusual_form(form.name());
+            if request_log::is_logged(count) {
+                let client = ClientLabel::of(&client.connection);
+                request_log::log_unusual_form(client, &RequestLabel::of(head), form, count);
+            }
+        }
     }
 
-    fn begin_message(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, keep_alive: bool) {
+    pub(super) fn begin_message(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, keep_alive: bool) {
         cx.transport.mark_busy(id);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.sent_continue = false;
@@ -95,17 +108,21 @@
         decoded: DecodedRequest,
         message: Message,
     ) {
-        let DecodedRequest { mut request, client_request_id } = decoded;
         let shutdown_deadline = self.shutdown_deadline.unwrap_or(Time(u64::MAX));
-        request.client_timeout = (arrived_at + request.client_timeout).min(shutdown_deadline) - cx.now;
-        if request.client_timeout == Span::ZERO {
-            return self.refuse(cx, id, &client_request_id, Rejection::Expired);
+        let budget = (arrived_at + decoded.request.client_timeout).min(shutdown_deadline) - cx.now;
+        if budget == Span::ZERO {
+            return self.refuse(cx, id, decoded, Rejection::Expired);
         }
-        let budget = request.client_timeout;
+        let DecodedRequest { mut request, client_request_id } = decoded;
+        request.client_timeout = budget;
         let reserved_bytes = MemoryBudget::reservation_for(&message);
         let request_id = match cx.requests.insert(cx.now, id, request, client_request_id, message) {
             Ok(request_id) => request_id,
-            Err(error) => return self.reject(cx, id, Rejection::RequestId(error)),
+            Err(RefusedRequest { error, client_request_id }) => {
+                let class = self.decoder.class_name(request.request_class);
+                let label = RequestLabel::new(Some(client_request_id), class);
+                return self.reject_request(cx, id, Rejection::RequestId(error), &label);
+            }
         };
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.state = ClientState::AwaitingResponse(request_id);
@@ -120,13 +137,16 @@
         &mut self,
         cx: &mut TurnContext<'_>,
         id: ConnectionId,
-        client_request_id: &ClientRequestId,
+        decoded: DecodedRequest,
         rejection: Rejection,
     ) {
-        match cx.requests.use_up_id(client_request_id) {
-            Ok(()) => self.reject(cx, id, rejection),
-            Err(error) => self.reject(cx, id, Rejection::RequestId(error)),
-        }
+        let rejection = match cx.requests.use_up_id(&decoded.client_request_id) {
+            Ok(()) => rejection,
+            Err(error) => Rejection::RequestId(error),
+        };
+        let class = self.decoder.class_name(decoded.request.request_class);
+        let label = RequestLabel::new(Some(decoded.client_request_id), class);
+        self.reject_request(cx, id, rejection, &label);
     }
 
     /// Rejects requests that exceeded the memory for requests sent ahead. Nothing was forwarded for them.
@@ -146,16 +166,26 @@
         self.begin_writing(cx, id, keep_alive);
     }
 
+    /// Answers input with an error that is no complete message.
+    pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, rejection: Rejection) {
+        self.reject_request(cx, id, rejection, &RequestLabel::default());
+    }
+
     /// Answers a message with an error, for which nothing was forwarded. Complete requests behind it are
     /// answered in any case; further ones can follow unless the rejection ends the connection.
-    pub(super) fn reject(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, rejection: Rejection) {
+    pub(super) fn reject_request(
+        &mut self,
+        cx: &mut TurnContext<'_>,
+        id: ConnectionId,
+        rejection: Rejection,
+        label: &RequestLabel,
+    ) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let status = rejection.status();
-        log::debug!(
-            event = "message_rejected", connection:% = id, status = status, reason = rejection.name();
-            "rejected a message on connection {id} with status {status}: {rejection}"
-        );
-        cx.requests.count_rejection(rejection.name());
+        let count = cx.requests.count_rejection(rejection.name());
+        if request_log::is_logged(count) {
+            request_log::log_rejection(ClientLabel::of(&client.connection), label, rejection, count);
+        }
         let is_shutting_down = self.shutdown_deadline.is_some();
         let keep_alive = match rejection.keeps_connection() {
             true => client.keeps_alive(is_shutting_down),
--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -33,6 +33,6 @@
 pub use load_report::parse_load_report;
 pub use node::{CommandSource, Node, NodeCommand, NodeConfig, ReloadableConfig};
 pub use request_ids::{RepeatPolicy, RequestIdError};
-pub use request_table::{ActiveRequest, FinishedAttempt, RequestTable, UndeliveredResponse};
+pub use request_table::{ActiveRequest, FinishedAttempt, RefusedRequest, RequestTable, UndeliveredResponse};
 pub use turn_context::TurnContext;
 pub use upstream::Upstream;
--- a/crates/node/src/proxy/node/mod.rs
+++ b/crates/node/src/proxy/node/mod.rs
@@ -162,6 +162,7 @@
     }
 
     fn reload(&mut self, now: Time, config: ReloadableConfig) {
+        self.log_metrics();
         let limits = config.connection_limits();
         self.transport.set_max_connections(limits.connections);
         self.downstream.set_limits(limits);
--- a/crates/node/src/proxy/request_metrics.rs
+++ b/crates/node/src/proxy/request_metrics.rs
@@ -21,6 +21,8 @@
     excess_requests: u64,
     /// The number of messages that the node answered with an error by itself, by the name of the reason.
     rejections: BTreeMap<&'static str, u64>,
+    /// The number of accepted requests by the name of their unusual form.
+    unusual_forms: BTreeMap<&'static str, u64>,
 }
 
 impl RequestMetrics {
@@ -50,9 +52,18 @@
         self.excess_requests += count;
     }
 
-    /// Counts a message that was rejected for this reason.
-    pub(super) fn count_rejection(&mut self, reason: &'static str) {
-        *self.rejections.entry(reason).or_default() += 1;
+    /// Counts a message that was rejected for this reason, and returns the number of those.
+    pub(super) fn count_rejection(&mut self, reason: &'static str) -> u64 {
+        let count = self.rejections.entry(reason).or_default();
+        *count += 1;
+        *count
+    }
+
+    /// Counts an accepted request of an unusual form, and returns the number of those.
+    pub(super) fn count_unusual_form(&mut self, form: &'static str) -> u64 {
+        let count = self.unusual_forms.entry(form).or_default();
+        *count += 1;
+        *count
     }
 
     /// Writes the counts to the log.
@@ -61,7 +72,8 @@
             event = "request_metrics", fulfilled = self.fulfilled, rate_limited = self.rate_limited,
             errored = self.errored, client_disconnected = self.client_disconnected,
             attempts = self.total_attempts(), unreadable_load_reports = self.unreadable_load_reports,
-            excess_requests = self.excess_requests, rejected_messages = self.total_rejections();
+            excess_requests = self.excess_requests, rejected_messages = self.total_rejections(),
+            unusual_requests = self.unusual_forms.values().sum::<u64>();
             "{self}"
         );
     }
@@ -110,6 +122,10 @@
             write!(f, "; {} messages rejected", self.total_rejections())?;
             write_counts(f, &self.rejections)?;
         }
+        if !self.unusual_forms.is_empty() {
+            write!(f, "; accepted requests of unusual forms")?;
+            write_counts(f, &self.unusual_forms)?;
+        }
         Ok(())
     }
 }
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -103,6 +103,15 @@
     pub load_report: Option<LoadReport>,
 }
 
+/// A request that was not added to the table.
+#[derive(Debug)]
+pub struct RefusedRequest {
+    /// Why its identifier cannot be used.
+    pub error: RequestIdError,
+    /// The client's identifier for the request.
+    pub client_request_id: ClientRequestId,
+}
+
 /// A final response that is to be delivered to a client.
 pub struct UndeliveredResponse {
     /// The request that the response answers.
@@ -146,9 +155,11 @@
         request: Request,
         client_request_id: ClientRequestId,
         message: Message,
-    ) -> Result<RequestId, RequestIdError> {
+    ) -> Result<RequestId, RefusedRequest> {
         let id = RequestId(self.last_id + 1);
-        self.ids.insert(now, &client_request_id, id, request.request_class)?;
+        if let Err(error) = self.ids.insert(now, &client_request_id, id, request.request_class) {
+            return Err(RefusedRequest { error, client_request_id });
+        }
         self.last_id = id.0;
         let active = ActiveRequest {
             client,
@@ -196,9 +207,14 @@
         self.metrics.count_excess_requests(count);
     }
 
-    /// Counts a message that was rejected for this reason.
-    pub(super) fn count_rejection(&mut self, reason: &'static str) {
-        self.metrics.count_rejection(reason);
+    /// Counts a message that was rejected for this reason, and returns the number of those since the last report.
+    pub(super) fn count_rejection(&mut self, reason: &'static str) -> u64 {
+        self.metrics.count_rejection(reason)
+    }
+
+    /// Counts an accepted request of an unusual form, and returns the number of those since the last report.
+    pub(super) fn count_unusual_form(&mut self, form: &'static str) -> u64 {
+        self.metrics.count_unusual_form(form)
     }
 
     /// Returns the next final response to deliver.
--- a/crates/node/src/transport/connection.rs
+++ b/crates/node/src/transport/connection.rs
@@ -1,6 +1,6 @@
 //! TCP connections with one buffer per direction.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 
 use rustix::event::epoll::EventFlags;
 use rustix::fd::OwnedFd;
@@ -120,6 +120,12 @@
         self.id
     }
 
+    /// The address of the peer; `None` if the connection has ended.
+    pub fn peer_address(&self) -> Option<SocketAddrV4> {
+        let peer = net::getpeername(&self.fd).ok().flatten()?;
+        peer.try_into().ok()
+    }
+
     /// Whether the handshake has completed.
     pub fn is_connected(&self) -> bool {
         self.state == ConnectionState::Connected
--- a/crates/node/tests/scenarios/harness/node_process.rs
+++ b/crates/node/tests/scenarios/harness/node_process.rs
@@ -2,7 +2,7 @@
 
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
@@ -31,6 +31,13 @@
                 let limit = Rlimit { current: max, maximum: max };
                 prlimit(Some(self.pid()), Resource::Nofile, limit).expect("a process");
             }
+            ["logged", times, ref texts @ ..] => {
+                let texts: Vec<_> = texts.iter().map(|text| text.replace("\\s", " ")).collect();
+                let texts: Vec<_> = texts.iter().map(String::as_str).collect();
+                let times = times.parse().expect("a number");
+                self.wait_until(line, |harness| (harness.count_log_lines(&texts) >= times).then_some(()));
+                assert_eq!(self.count_log_lines(&texts), times, "{line}");
+            }
             ["low-cpu", ms] => self.expect_low_cpu(line, ms),
             ["peak-memory", max_mb] => self.expect_peak_memory(line, max_mb),
             ["invalid", path, value, "says", key] => self.expect_invalid_config(line, path, value, key),
@@ -106,6 +113,16 @@
         path
     }
 
+    fn log_path(&self) -> PathBuf {
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.log", self.address))
+    }
+
+    /// The number of lines in the node's log that contain all of the texts.
+    fn count_log_lines(&self, texts: &[&str]) -> usize {
+        let log = std::fs::read_to_string(self.log_path()).expect("a log");
+        log.lines().filter(|line| texts.iter().all(|text| line.contains(text))).count()
+    }
+
     fn pid(&self) -> Pid {
         Pid::from_child(self.process.as_ref().expect("a node"))
     }
@@ -118,7 +135,8 @@
     fn start(&mut self) {
         let path = self.write_config();
         let mut program = Command::new(env!("CARGO_BIN_EXE_granitelb"));
-        let program = program.args(["serve", "--config"]).arg(&path).stderr(Stdio::null());
+        let log = std::fs::File::create(self.log_path()).expect("a file");
+        let program = program.args(["serve", "--config"]).arg(&path).stderr(log);
         self.process = Some(program.spawn().expect("the program"));
         let node = self.node;
         let mut connection =
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -57,6 +57,7 @@
 //! The program and time.
 //!
 //! - `start`, `stop`, `exits [within=MS]` (after the stop signal), `freeze`, `resume`, `reload [K=JSON ...]`, `limit-descriptors N`.
+//! - `logged TIMES TEXT ...`: so many lines of the node's log contain all of the texts.
 //! - `peak-memory MB`: the node has used at most so much memory since it was started.
 //! - `low-cpu MS`: the node uses less than a third of a core. `quiet MS`: no attempt arrives and no client
 //!   receives anything or is disconnected. `wait MS`: lets time pass.
@@ -98,6 +99,7 @@
 #[test_case(include_str!("drained-while-connecting.txt"); "drained_while_connecting")]
 #[test_case(include_str!("draining.txt"); "draining")]
 #[test_case(include_str!("duplicate-response.txt"); "duplicate_response")]
+#[test_case(include_str!("endless-requests.txt"); "endless_requests")]
 #[test_case(include_str!("excess-client-input.txt"); "excess_client_input")]
 #[test_case(include_str!("excess-input-and-disconnect.txt"); "excess_input_and_disconnect")]
 #[test_case(include_str!("final-read-on-eviction.txt"); "final_read_on_eviction")]
@@ -120,6 +122,7 @@
 #[test_case(include_str!("pushed-list.txt"); "pushed_list")]
 #[test_case(include_str!("refused.txt"); "refused")]
 #[test_case(include_str!("reload.txt"); "reload")]
+#[test_case(include_str!("rejections-in-the-log.txt"); "rejections_in_the_log")]
 #[test_case(include_str!("replaced-process.txt"); "replaced_process")]
 #[test_case(include_str!("reset-after-response.txt"); "reset_after_response")]
 #[test_case(include_str!("responses.txt"); "responses")]
