Reserve the identifiers of requests that wait behind others on their connection

What callers would see: a copy of a request that waits behind another one on its connection is served, and the original is refused with 409 in its place.

The identifiers of requests that wait are reserved at the end of the turn in which they were read. A reservation ends when the request has its turn, or when its connection ends: then it was not begun, and its identifier is free as before.

Scenario copied-id-of-waiting-request: failed before (the copy was forwarded), passes.

--- a/crates/node/src/proxy/downstream/advance.rs
+++ b/crates/node/src/proxy/downstream/advance.rs
@@ -4,7 +4,7 @@
 
 use super::client::ClientState;
 use super::memory_budget::ClientMemory;
-use super::pipeline::{Pipeline, PipelineEntry};
+use super::pipeline::PipelineEntry;
 use super::rejection::Rejection;
 use super::request_log::RequestLabel;
 use super::{Downstream, MESSAGE_TIMEOUT, WRITE_TIMEOUT};
@@ -110,12 +110,16 @@
     /// Handles what has its turn next on a connection, and returns whether there was something.
     fn take_next(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
-        match client.pipeline.pop(MAX_EXCESS_REPLIES) {
+        let entry = client.pipeline.pop(MAX_EXCESS_REPLIES);
+        if let Some(PipelineEntry::Request { reserved_id: Some(reserved), .. }) = &entry {
+            cx.requests.end_reservation(reserved);
+        }
+        match entry {
             // The client has sent faster than the node reads for too long.
             Some(PipelineEntry::Request { .. }) if !client.connection.is_drained() => {
                 self.reject_excess(cx, id, 1);
             }
-            Some(PipelineEntry::Request { message, arrived_at }) => {
+            Some(PipelineEntry::Request { message, arrived_at, .. }) => {
                 self.on_message(cx, id, message, arrived_at);
             }
             Some(PipelineEntry::Excess { count }) => self.reject_excess(cx, id, count),
@@ -146,6 +150,7 @@
             self.set_reading_timers(cx, id);
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
+        client.pipeline.reserve_ids(cx.requests);
         client.connection.update_interest(cx.transport);
         self.count_memory(id);
     }
@@ -179,7 +184,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.connection.shutdown_write();
         client.connection.input.clear();
-        client.pipeline = Pipeline::default();
+        client.pipeline.clear(cx.requests);
         client.state = ClientState::Lingering;
         self.evict_first.set(id, cx.now);
         cx.transport.mark_busy(id);
@@ -187,7 +192,8 @@
     }
 
     pub(super) fn close(&mut self, cx: &mut TurnContext<'_>, id: ConnectionId, reason: CloseReason) {
-        let Some(client) = self.clients.remove(&id) else { return };
+        let Some(mut client) = self.clients.remove(&id) else { return };
+        client.pipeline.clear(cx.requests);
         self.evict_first.remove(id);
         self.memory.update(client.counted, ClientMemory::default());
         if let ClientState::AwaitingResponse(request) = client.state {
--- a/crates/node/src/proxy/downstream/pipeline.rs
+++ b/crates/node/src/proxy/downstream/pipeline.rs
@@ -14,6 +14,8 @@
 
 use crate::http::{Message, MessageDecoder, MessageHead, MessageKind, ParseError, RequestDefect};
 use crate::proxy::client_request_id::ClientRequestId;
+use crate::proxy::request_ids::ReservedId;
+use crate::proxy::request_table::RequestTable;
 use crate::transport::RingBuffer;
 
 /// The most memory, in bytes, for what a client has sent ahead. A message of the maximum length fits.
@@ -52,6 +54,8 @@
         message: Message,
         /// When the last byte of the request arrived.
         arrived_at: Time,
+        /// The request's identifier, if it is reserved until the request has its turn.
+        reserved_id: Option<ReservedId>,
     },
     /// Complete requests that exceeded the memory for requests sent ahead. Their content was discarded, and
     /// each of them is owed a rejection.
@@ -98,6 +102,8 @@
     /// Whether the last request was received: one that asks to close the connection, or an invalid one. All
     /// further input is discarded.
     has_ended: bool,
+    /// The number of entries, from the front, whose identifiers were reserved as far as they could be.
+    reserved_entries: usize,
 }
 
 impl Default for Pipeline {
@@ -108,6 +114,7 @@
             held_bytes: 0,
             is_discarding: false,
             has_ended: false,
+            reserved_entries: 0,
         }
     }
 }
@@ -151,6 +158,7 @@
             return Some(PipelineEntry::Excess { count: max_excess });
         }
         let entry = self.entries.pop_front()?;
+        self.reserved_entries = self.reserved_entries.saturating_sub(1);
         self.held_bytes -= entry.allocated_bytes();
         if self.entries.is_empty() && self.entries.capacity() > RETAINED_ENTRIES {
             self.entries = VecDeque::new();
@@ -158,6 +166,26 @@
         Some(entry)
     }
 
+    /// Reserves the identifiers of the requests that were added since the last call.
+    pub(super) fn reserve_ids(&mut self, requests: &mut RequestTable) {
+        for entry in self.entries.range_mut(self.reserved_entries..) {
+            if let PipelineEntry::Request { message, reserved_id, .. } = entry {
+                *reserved_id = ClientRequestId::of(&message.head).and_then(|id| requests.reserve_id(&id));
+            }
+        }
+        self.reserved_entries = self.entries.len();
+    }
+
+    /// Drops everything that waits for its turn, with its reservations.
+    pub(super) fn clear(&mut self, requests: &mut RequestTable) {
+        for entry in &self.entries {
+            if let PipelineEntry::Request { reserved_id: Some(reserved), .. } = entry {
+                requests.end_reservation(reserved);
+            }
+        }
+        *self = Pipeline::default();
+    }
+
     /// Whether no entry waits for its turn. A message may still be incomplete.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -214,7 +242,7 @@
                 let request_id = ClientRequestId::of(&message.head);
                 PipelineEntry::Defective { defect, keep_alive, request_id }
             }
-            None => PipelineEntry::Request { message, arrived_at },
+            None => PipelineEntry::Request { message, arrived_at, reserved_id: None },
         };
         let bytes = entry.allocated_bytes();
         let added_entries = self.next_growth() + RESERVED_ENTRIES;
--- a/crates/node/src/proxy/mod.rs
+++ b/crates/node/src/proxy/mod.rs
@@ -32,7 +32,7 @@
 pub use final_response::FinalResponse;
 pub use load_report::parse_load_report;
 pub use node::{CommandSource, Node, NodeCommand, NodeConfig, ReloadableConfig};
-pub use request_ids::{RepeatPolicy, RequestIdError};
+pub use request_ids::{RepeatPolicy, RequestIdError, ReservedId};
 pub use request_table::{ActiveRequest, FinishedAttempt, RefusedRequest, RequestTable, UndeliveredResponse};
 pub use turn_context::TurnContext;
 pub use upstream::Upstream;
--- a/crates/node/src/proxy/request_ids.rs
+++ b/crates/node/src/proxy/request_ids.rs
@@ -39,7 +39,7 @@
 /// Why an identifier cannot be used by a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestIdError {
-    /// A request with this identifier is pending.
+    /// A request with this identifier is pending, or waits for its turn on its connection.
     Pending,
     /// A request with this identifier must not be repeated, and may have been executed.
     Held,
@@ -74,6 +74,12 @@
     }
 }
 
+/// The identifier of a request that was read and waits for its turn on its connection.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ReservedId {
+    hash: u64,
+}
+
 /// A held identifier, in the order in which the requests were accepted.
 struct HeldId {
     hash: u64,
@@ -84,6 +90,8 @@
 /// The identifiers that are in use, held or used up.
 pub(super) struct RequestIds {
     pending: HashSet<ClientRequestId>,
+    /// The identifiers of requests that wait for their turn, by their hashes. As many wait as clients may send ahead.
+    reserved: HashSet<u64>,
     /// The requests that hold an identifier, by the identifier's hash. Hashes bound the memory, whatever the
     /// length of the identifiers. Identifiers with the same hash count as the same, which refuses a request and
     /// never repeats one.
@@ -101,6 +109,7 @@
     fn default() -> RequestIds {
         RequestIds {
             pending: HashSet::new(),
+            reserved: HashSet::new(),
             held: HashMap::new(),
             order: VecDeque::new(),
             used: UsedIds::default(),
@@ -152,6 +161,18 @@
         Ok(())
     }
 
+    /// Reserves an identifier for a request that was read and waits for its turn; `None` if it was used before.
+    pub(super) fn reserve(&mut self, id: &ClientRequestId) -> Option<ReservedId> {
+        let hash = self.check_unused(id).ok()?;
+        self.reserved.insert(hash);
+        Some(ReservedId { hash })
+    }
+
+    /// Ends a reservation, since the request has its turn, or has none as its connection has ended.
+    pub(super) fn end_reservation(&mut self, reserved: &ReservedId) {
+        self.reserved.remove(&reserved.hash);
+    }
+
     /// Records that a request with this identifier was read and is not accepted, so that nothing is forwarded for it.
     ///
     /// # Errors
@@ -169,6 +190,9 @@
             return Err(RequestIdError::Pending);
         }
         let hash = self.hasher.hash_one(id);
+        if self.reserved.contains(&hash) {
+            return Err(RequestIdError::Pending);
+        }
         if self.held.contains_key(&hash) {
             return Err(RequestIdError::Held);
         }
--- a/crates/node/src/proxy/request_table.rs
+++ b/crates/node/src/proxy/request_table.rs
@@ -14,7 +14,7 @@
 use super::client_request_id::ClientRequestId;
 use super::final_response::FinalResponse;
 use super::load_report::parse_load_report;
-use super::request_ids::{RepeatPolicy, RequestIdError, RequestIds};
+use super::request_ids::{RepeatPolicy, RequestIdError, RequestIds, ReservedId};
 use super::request_metrics::RequestMetrics;
 use crate::http::Message;
 use crate::transport::ConnectionId;
@@ -178,6 +178,16 @@
         Ok(id)
     }
 
+    /// Reserves the identifier of a request that was read and waits for its turn; `None` if it was used before.
+    pub(super) fn reserve_id(&mut self, client_request_id: &ClientRequestId) -> Option<ReservedId> {
+        self.ids.reserve(client_request_id)
+    }
+
+    /// Ends a reservation, since the request has its turn, or has none as its connection has ended.
+    pub(super) fn end_reservation(&mut self, reserved: &ReservedId) {
+        self.ids.end_reservation(reserved);
+    }
+
     /// Records that a request with this identifier was read and is not accepted.
     ///
     /// # Errors
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -87,6 +87,7 @@
 #[test_case(include_str!("configuration.txt"); "configuration")]
 #[test_case(include_str!("connect-timeout.txt"); "connect_timeout")]
 #[test_case(include_str!("copied-id-of-open-read.txt"); "copied_id_of_open_read")]
+#[test_case(include_str!("copied-id-of-waiting-request.txt"); "copied_id_of_waiting_request")]
 #[test_case(include_str!("crowd-of-incomplete-requests.txt"); "crowd_of_incomplete_requests")]
 #[test_case(include_str!("delayed-connect-removed-endpoint.txt"); "delayed_connect_removed_endpoint")]
 #[test_case(include_str!("delayed-connect.txt"); "delayed_connect")]
