Soak: copied identifiers, clients that leave hung caches, and forms that no client sends

The soak draws copies of open reads that no endpoint answers, sent as soon as they are refused until 0.6 s after the read's client has left at 0.4 s; copies of answered requests; and 18 more forms that are refused.

--- a/crates/node/tests/soak/clients.rs
+++ b/crates/node/tests/soak/clients.rs
@@ -13,17 +13,46 @@
 const HEALTH_CHECK: &str = "GET /health/live HTTP/1.1\r\nHost: n\r\n\r\n";
 
 /// Requests that are refused, with an end that is certain: their targets, hosts and further headers.
-const REFUSED: [(&str, &str, &str); 6] = [
+const REFUSED: [(&str, &str, &str); 22] = [
     ("/read/k", "a b", ""),
     ("/read/%zz", "n", ""),
     ("/read/../k", "n", ""),
     ("/read/k", "n", "X-Timeout-Ms: +5\r\n"),
     ("/read/k", "n", "Connection: x-request-id\r\n"),
     ("/read/k", "n", "X-Attrs: a=1,a=2\r\n"),
+    ("/read/k", "n", "X-Cost: many\r\n"),
+    ("/read/k", "n", "X-Cost: -5\r\n"),
+    ("/read/k", "n", "X-Cost: nan\r\n"),
+    ("/read/k", "n", "X-Cost: 5\r\nX-Cost: 5\r\n"),
+    ("/read/k", "n", "X-Timeout-Ms: 1000000000000000000\r\n"),
+    ("/read/k", "n", "X-Timeout-Ms: soon\r\n"),
+    ("/read/k", "n", "X-Retried: 2\r\n"),
+    ("/read/k", "n", "X-Priority-Class: read\r\n"),
+    ("/read/k", "n", "TE: chunked\r\n"),
+    ("/read/k", "n", "Content-Length: 4\r\n\r\nab"),
+    ("/read/", "n", ""),
+    ("/read//k", "n", ""),
+    ("/read/%0d%0ax", "n", ""),
+    ("/read/%00", "n", ""),
+    ("/read/k", "a,b", ""),
+    ("/read/k", "a%20b", ""),
 ];
 /// Headers by which the end of a request is not certain.
-const UNPARSABLE: [&str; 5] =
-    ["A: \u{7}\r\n", "Content-Length: +1\r\n", "Transfer-Encoding: gzip\r\n", " folded\r\n", "X : y\r\n"];
+const UNPARSABLE: [&str; 7] = [
+    "A: \u{7}\r\n",
+    "Content-Length: +1\r\n",
+    "Content-Length: 1\r\nContent-Length: 1\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    " folded\r\n",
+    "X : y\r\n",
+    "A: b\rc\r\n",
+];
+/// How long the client of a read waits that no endpoint answers, before it leaves.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// For how long after that copies of its request are sent.
+const COPYING_TIME: Duration = Duration::from_millis(600);
+const COPY_INTERVAL: Duration = Duration::from_millis(5);
+const NEVER_ANSWERED_PREFIX: &str = "hung-";
 
 /// What a client has seen.
 #[derive(Debug, Default)]
@@ -32,6 +61,8 @@
     pub refused: u64,
     /// The number of requests that came again under their identifier.
     pub returned: u64,
+    /// The number of copies that were refused.
+    pub copies: u64,
     /// The identifiers of requests that must not be forwarded.
     pub refused_ids: Vec<String>,
     pub faults: Vec<String>,
@@ -43,6 +74,7 @@
         self.served += other.served;
         self.refused += other.refused;
         self.returned += other.returned;
+        self.copies += other.copies;
         self.refused_ids.extend(other.refused_ids);
         self.faults.extend(other.faults);
     }
@@ -53,6 +85,11 @@
     id.starts_with(NON_IDEMPOTENT_PREFIX)
 }
 
+/// Whether no endpoint answers a request with this identifier.
+pub fn is_never_answered(id: &str) -> bool {
+    id.starts_with(NEVER_ANSWERED_PREFIX)
+}
+
 /// The status of the response to a single read under this identifier.
 pub fn probe(node: SocketAddr, id: &str) -> Option<u16> {
     let mut connection = ClientConnection::open(node);
@@ -65,12 +102,14 @@
     let random = Random(seed * 1000 + client);
     let mut client = Client { node, random, name: client, last_id: 0, findings: Findings::default() };
     while Instant::now() < end {
-        match client.random.below(8) {
+        match client.random.below(10) {
             0 | 1 => client.send_one_by_one(),
             2 | 3 => client.send_refused_between_valid(),
             4 => client.send_unparsable(),
             5 => client.send_again_after_leaving(),
             6 => client.stop_within_a_head(),
+            7 => client.copy_open_read(),
+            8 => client.copy_answered_request(),
             _ => client.send_many_at_once(),
         }
     }
@@ -166,6 +205,53 @@
         }
     }
 
+    /// Sends a read that no endpoint answers and leaves, and copies of it as soon as they are refused.
+    fn copy_open_read(&mut self) {
+        let id = self.next_id(NEVER_ANSWERED_PREFIX);
+        let mut original = Some(ClientConnection::open(self.node));
+        if let Some(connection) = &mut original {
+            connection.send(&format_read("/read/k", "n", &id, ""));
+        }
+        std::thread::sleep(COPY_INTERVAL);
+        let begin = Instant::now();
+        let mut copier = ClientConnection::open(self.node);
+        while begin.elapsed() < PATIENCE + COPYING_TIME {
+            if begin.elapsed() >= PATIENCE {
+                original = None;
+            }
+            if self.random.below(4) == 0 {
+                copier = ClientConnection::open(self.node);
+            }
+            self.send_copy(&mut copier, &id);
+            std::thread::sleep(COPY_INTERVAL);
+        }
+        drop(original);
+    }
+
+    fn copy_answered_request(&mut self) {
+        let id = self.next_id("answered-");
+        let mut connection = ClientConnection::open(self.node);
+        connection.send(&format_read("/read/k", "n", &id, ""));
+        self.expect(&mut connection, 200, &id);
+        for _ in 0..=self.random.below(3) {
+            std::thread::sleep(Duration::from_millis(self.random.below(200) as u64));
+            self.send_copy(&mut connection, &id);
+        }
+    }
+
+    /// Sends a request under an identifier that was used before: the same request or another one.
+    fn send_copy(&mut self, connection: &mut ClientConnection, id: &str) {
+        let copy = match self.random.below(4) {
+            0 => format_read("/read/k", "n", id, ""),
+            1 => format_read("/read/other", "n", id, ""),
+            2 => format_write("post", id, "x"),
+            _ => format_write("once", id, "x"),
+        };
+        connection.send(&copy);
+        self.expect(connection, 409, &format!("a copy of {id}"));
+        self.findings.copies += 1;
+    }
+
     fn stop_within_a_head(&mut self) {
         let id = self.next_id("partial-");
         let headers: String = (0..self.random.below(90)).map(|number| format!("a{number}: b\r\n")).collect();
--- a/crates/node/tests/soak/fixture.rs
+++ b/crates/node/tests/soak/fixture.rs
@@ -22,6 +22,8 @@
 const START_POLLS: usize = 400;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// Longer than any client waits.
+const HANG_TIME: Duration = Duration::from_secs(20);
 /// Delays of the endpoints in milliseconds, by seed.
 const DELAYS_MS: [u64; 4] = [0, 20, 200, 2];
 
@@ -133,7 +135,7 @@
         }
         let id = header(&head, "x-request-id").unwrap_or_default().to_string();
         *attempts.lock().expect("no endpoint has panicked").entry(id.clone()).or_default() += 1;
-        std::thread::sleep(delay);
+        std::thread::sleep(if clients::is_never_answered(&id) { HANG_TIME } else { delay });
         let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
         if writer.write_all(response.as_bytes()).is_err() {
             return;
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! A soak by seeds: clients of all kinds at once against one node, with new configurations in between.
 //!
 //! Judged: a valid request gets its one response in time, in order; a request that is not valid gets 400 and is not
-//! forwarded; a request that must not be repeated reaches an endpoint at most once; the memory stays under half of
+//! forwarded; a request under an identifier that was used before gets 409, also where its original is open at an endpoint
+//! that does not answer, and after the original's client has left; a request that must not be repeated reaches an endpoint at most once; the memory stays under half of
 //! the limit; and afterwards the node serves at once.
 
 mod clients;
@@ -61,6 +62,7 @@
     std::thread::sleep(SETTLE_TIME);
     assert!(findings.faults.is_empty(), "seed {seed}: {:#?}", findings.faults);
     assert!(findings.served > 0 && findings.refused > 0 && findings.returned > 0, "{findings:?}");
+    assert!(findings.copies > 0, "{findings:?}");
     let attempts = fixture.attempts();
     for id in &findings.refused_ids {
         assert!(!attempts.contains_key(id), "seed {seed}: {id} is not valid and was forwarded");
