Compare a reload with the most that runs without new settings send to cold caches

Traced: in 9 runs of the reload sent 109 to 177, in step with what it had sent in the 2 s before (2.1 to 2.4 times that, at one load of the machine as at another). The single run without new settings that is the measure sent 176 to 191, but 135, 148 and 168 where the machine was held up in those 2 s. So the measure was wrong, not the reload: budgets bound what a cold cache gets, and a held-up machine only lowers it.

The measure is now the most of three runs without new settings; the bound stays what those send, with no allowance. On a machine that is not held up it is the same bound as before.

--- a/crates/testbed/tests/experiments.rs
+++ b/crates/testbed/tests/experiments.rs
@@ -89,6 +89,10 @@
 /// Length of the compared periods before and after the new settings, in seconds.
 const COMPARED_S: f64 = 2.0;
 
+/// The number of runs without new settings, of which the one that sends most is the reference: budgets bound what a cold
+/// cache gets, and a machine that is held up only lowers it.
+const REFERENCE_RUNS: usize = 3;
+
 /// Runs the experiment `settings-in-service`, or a variant of it, and returns the counts before and after the
 /// settings are applied. Violations are allowed only if `may_reset_connections`.
 fn count_around_settings(experiment: &Experiment, may_reset_connections: bool) -> [PeriodCounts; 2] {
@@ -117,7 +121,8 @@
     // A node that shuts down may reset a connection that it has not accepted yet. This test does not check
     // that.
     let restart = count_around_settings(&restart_experiment, true);
-    let [_, unchanged] = count_around_settings(&unchanged_experiment, false);
+    let unchanged: Vec<_> =
+        (0..REFERENCE_RUNS).map(|_| count_around_settings(&unchanged_experiment, false)).collect();
     println!("before and after, by a reload {reload:?}, by a restart {restart:?}, unchanged {unchanged:?}");
     let [before_reload, after_reload] = &reload;
     let [_, after_restart] = &restart;
@@ -129,7 +134,8 @@
         "{reload:?} {restart:?}"
     );
     // A reload costs no burst: cold caches get no more than without new settings.
-    assert!(after_reload.cold_cache_attempts <= unchanged.cold_cache_attempts, "{reload:?} {unchanged:?}");
+    let most = unchanged.iter().map(|[_, after]| after.cold_cache_attempts).max().unwrap_or_default();
+    assert!(after_reload.cold_cache_attempts <= most, "{reload:?} {unchanged:?}");
 }
 
 /// The experiment without the fault that applies new settings.
