Keep identifiers as hashes alone, in tables that don't hash them again

Pending identifiers were kept as texts, hashed by text three times a request, and each table hashed the hash again.

The host is not parsed again to find an empty port, and the path not copied to find an encoded slash.

--- a/crates/node/src/http/request_target.rs
+++ b/crates/node/src/http/request_target.rs
@@ -11,7 +11,7 @@
 const ASTERISK: &str = "*";
 const HEXADECIMAL: u32 = 16;
 /// A slash, percent-encoded.
-const ENCODED_SLASH: &str = "%2f";
+const ENCODED_SLASH: &[u8] = b"%2f";
 /// A dot, percent-encoded.
 const ENCODED_DOT: &str = "%2e";
 
@@ -66,7 +66,10 @@
 
     /// Whether a segment of the path has a percent-encoded slash.
     pub fn has_encoded_slash(&self) -> bool {
-        self.path_segments().any(|segment| segment.to_ascii_lowercase().contains(ENCODED_SLASH))
+        self.path()
+            .as_bytes()
+            .windows(ENCODED_SLASH.len())
+            .any(|text| text.eq_ignore_ascii_case(ENCODED_SLASH))
     }
 
     /// The path and query, as they are forwarded.
--- a/crates/node/src/http/syntax/host.rs
+++ b/crates/node/src/http/syntax/host.rs
@@ -27,11 +27,6 @@
         &self.text
     }
 
-    /// Whether there is a colon and no port behind it.
-    pub fn has_empty_port(&self) -> bool {
-        self.text.ends_with(':')
-    }
-
     /// Whether both name the same host and port. Names of hosts are case-insensitive.
     pub fn is_same(&self, other: &HostAndPort) -> bool {
         self.text.eq_ignore_ascii_case(&other.text)
--- a/crates/node/src/proxy/downstream/unusual_form.rs
+++ b/crates/node/src/proxy/downstream/unusual_form.rs
@@ -4,7 +4,7 @@
 //! to take, is accepted only if it is listed here, and is counted by name. All others are refused.
 
 use super::request_decoder::DecodedRequest;
-use crate::http::{HostAndPort, MessageHead};
+use crate::http::MessageHead;
 
 /// A form of requests that is accepted although clients usually don't send it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,10 +53,7 @@
             UnusualForm::LeadingZeros => {
                 has_leading_zeros(head, "content-length") || has_leading_zeros(head, "x-timeout-ms")
             }
-            UnusualForm::EmptyPort => head
-                .header_text("host")
-                .and_then(HostAndPort::parse)
-                .is_some_and(|host| host.has_empty_port()),
+            UnusualForm::EmptyPort => head.header_text("host").is_some_and(|host| host.ends_with(':')),
             UnusualForm::EncodedSlash => head.target.has_encoded_slash(),
             UnusualForm::NoKey => head.target.path_segments().nth(1).is_none(),
             UnusualForm::IgnoredUpgrade => head.has_header("upgrade"),
--- a/crates/node/src/proxy/request_ids.rs
+++ b/crates/node/src/proxy/request_ids.rs
@@ -12,16 +12,16 @@
 //! its time, however many there are: a request whose identifier can't be held is not accepted. Other identifiers
 //! take no room from held ones, and no request is refused because there are many of them.
 
+mod id_hash;
 mod used_ids;
 
-use std::collections::hash_map::RandomState;
-use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::BuildHasher;
+use std::collections::VecDeque;
 
 use granitelb_balancer::ids::{RequestClassId, RequestId};
 use granitelb_balancer::settings::{Effect, Settings};
 use granitelb_balancer::time::{Span, Time};
 
+use self::id_hash::{IdHash, IdHashMap, IdHashSet, IdHasher};
 use self::used_ids::UsedIds;
 use super::client_request_id::ClientRequestId;
 
@@ -77,46 +77,43 @@
 /// The identifier of a request that was read and waits for its turn on its connection.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ReservedId {
-    hash: u64,
+    hash: IdHash,
 }
 
 /// A held identifier, in the order in which the requests were accepted.
 struct HeldId {
-    hash: u64,
+    hash: IdHash,
     request: RequestId,
     held_until: Time,
 }
 
 /// The identifiers that are in use, held or used up.
+///
+/// Hashes stand for identifiers and bound the memory, whatever the length of the identifiers. Identifiers with the same
+/// hash count as the same, which refuses a request and never repeats one.
+#[derive(Default)]
 pub(super) struct RequestIds {
-    pending: HashSet<ClientRequestId>,
-    /// The identifiers of requests that wait for their turn, by their hashes. As many wait as clients may send ahead.
-    reserved: HashSet<u64>,
-    /// The requests that hold an identifier, by the identifier's hash. Hashes bound the memory, whatever the
-    /// length of the identifiers. Identifiers with the same hash count as the same, which refuses a request and
-    /// never repeats one.
-    held: HashMap<u64, RequestId>,
+    /// The identifiers of pending requests.
+    pending: IdHashSet,
+    /// The identifiers of requests that wait for their turn. As many wait as clients may send ahead.
+    reserved: IdHashSet,
+    /// The requests that hold an identifier.
+    held: IdHashMap<RequestId>,
     /// All entries of `held`, and entries whose identifier was released.
     order: VecDeque<HeldId>,
     /// The identifiers of requests that are over and hold no identifier.
     used: UsedIds,
-    hasher: RandomState,
+    hasher: IdHasher,
     policy: RepeatPolicy,
-    capacity: usize,
+    capacity: HeldCapacity,
 }
 
-impl Default for RequestIds {
-    fn default() -> RequestIds {
-        RequestIds {
-            pending: HashSet::new(),
-            reserved: HashSet::new(),
-            held: HashMap::new(),
-            order: VecDeque::new(),
-            used: UsedIds::default(),
-            hasher: RandomState::new(),
-            policy: RepeatPolicy::default(),
-            capacity: MIN_HELD_IDS,
-        }
+/// The number of identifiers that may be held.
+struct HeldCapacity(usize);
+
+impl Default for HeldCapacity {
+    fn default() -> HeldCapacity {
+        HeldCapacity(MIN_HELD_IDS)
     }
 }
 
@@ -130,7 +127,7 @@
     pub(super) fn set_memory(&mut self, bytes: usize) {
         self.used.set_memory(bytes);
         let capacity = bytes / MEMORY_DIVISOR / BYTES_PER_HELD_ID;
-        self.capacity = capacity.clamp(MIN_HELD_IDS, MAX_HELD_IDS);
+        self.capacity = HeldCapacity(capacity.clamp(MIN_HELD_IDS, MAX_HELD_IDS));
     }
 
     /// The number of identifiers of pending requests.
@@ -157,7 +154,7 @@
             self.used.insert(hash);
             return Err(error);
         }
-        self.pending.insert(id.clone());
+        self.pending.insert(hash);
         Ok(())
     }
 
@@ -185,12 +182,9 @@
     }
 
     /// Returns the hash of an identifier that was not used before.
-    fn check_unused(&self, id: &ClientRequestId) -> Result<u64, RequestIdError> {
-        if self.pending.contains(id) {
-            return Err(RequestIdError::Pending);
-        }
-        let hash = self.hasher.hash_one(id);
-        if self.reserved.contains(&hash) {
+    fn check_unused(&self, id: &ClientRequestId) -> Result<IdHash, RequestIdError> {
+        let hash = self.hasher.hash(id);
+        if self.pending.contains(&hash) || self.reserved.contains(&hash) {
             return Err(RequestIdError::Pending);
         }
         if self.held.contains_key(&hash) {
@@ -202,9 +196,9 @@
         Ok(hash)
     }
 
-    fn hold(&mut self, now: Time, hash: u64, request: RequestId) -> Result<(), RequestIdError> {
+    fn hold(&mut self, now: Time, hash: IdHash, request: RequestId) -> Result<(), RequestIdError> {
         self.forget_released();
-        while self.held.len() >= self.capacity {
+        while self.held.len() >= self.capacity.0 {
             if !self.forget_oldest(now) {
                 return Err(RequestIdError::NoCapacity);
             }
@@ -228,13 +222,13 @@
 
     /// Removes entries of released identifiers once they are as many as may be held.
     fn forget_released(&mut self) {
-        if self.order.len() >= self.held.len() + self.capacity {
+        if self.order.len() >= self.held.len() + self.capacity.0 {
             self.order.retain(|entry| self.held.get(&entry.hash) == Some(&entry.request));
         }
     }
 
     /// Stops holding an identifier if this request holds it. The identifier stays used up.
-    fn stop_holding(&mut self, hash: u64, request: RequestId) {
+    fn stop_holding(&mut self, hash: IdHash, request: RequestId) {
         if self.held.get(&hash) == Some(&request) {
             self.held.remove(&hash);
             self.used.insert(hash);
@@ -244,8 +238,8 @@
     /// Records that the request with this identifier has its final response. If it must not be repeated, its
     /// identifier stays held.
     pub(super) fn on_finished(&mut self, id: &ClientRequestId) {
-        self.pending.remove(id);
-        let hash = self.hasher.hash_one(id);
+        let hash = self.hasher.hash(id);
+        self.pending.remove(&hash);
         if !self.held.contains_key(&hash) {
             self.used.insert(hash);
         }
@@ -253,7 +247,7 @@
 
     /// Stops holding the identifier of a request that no cache server can have executed, or will.
     pub(super) fn release(&mut self, id: &ClientRequestId, request: RequestId) {
-        let hash = self.hasher.hash_one(id);
+        let hash = self.hasher.hash(id);
         self.stop_holding(hash, request);
     }
 }
--- a/crates/node/src/proxy/request_ids/tests.rs
+++ b/crates/node/src/proxy/request_ids/tests.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+use super::id_hash::IdHash;
 use super::used_ids::UsedIds;
 use super::{MIN_HELD_IDS, RepeatPolicy, RequestIdError, RequestIds};
 use crate::proxy::client_request_id::ClientRequestId;
@@ -96,19 +97,19 @@
 #[test_case(192, 114_688; "with 192 MiB")]
 fn last_identifiers_are_remembered_and_the_oldest_are_forgotten(memory_mib: usize, expected: usize) {
     let mut ids = UsedIds::default();
-    ids.insert(0);
+    ids.insert(IdHash(0));
     ids.set_memory(memory_mib * 1024 * 1024);
     assert_eq!(ids.capacity(), expected);
     let count = 3 * expected as u64;
-    for id_hash in 0..count {
-        ids.insert(id_hash);
-        assert!(ids.contains((id_hash + 1).saturating_sub(expected as u64)));
+    for number in 0..count {
+        ids.insert(IdHash(number));
+        assert!(ids.contains(IdHash((number + 1).saturating_sub(expected as u64))));
     }
-    assert!(!ids.contains(0));
-    let remembered = (0..count).filter(|id_hash| ids.contains(*id_hash)).count();
+    assert!(!ids.contains(IdHash(0)));
+    let remembered = (0..count).filter(|number| ids.contains(IdHash(*number))).count();
     assert!((expected..=2 * expected).contains(&remembered), "{remembered}");
     ids.set_memory(16 * 1024 * 1024);
-    assert!((count - ids.capacity() as u64..count).all(|id_hash| ids.contains(id_hash)));
+    assert!((count - ids.capacity() as u64..count).all(|number| ids.contains(IdHash(number))));
 }
 
 /// What happens to a request.
--- a/crates/node/src/proxy/request_ids/used_ids.rs
+++ b/crates/node/src/proxy/request_ids/used_ids.rs
@@ -1,12 +1,12 @@
 //! The identifiers of requests that are over, as far as memory allows.
 
-use std::collections::HashSet;
+use super::id_hash::{IdHash, IdHashSet};
 
 /// The share of the memory limit that remembered identifiers may take.
 const MEMORY_DIVISOR: usize = 16;
 const GENERATIONS: usize = 2;
 /// The memory that a generation takes for each slot of its table, in bytes: a hash and a control byte.
-const BYTES_PER_SLOT: usize = size_of::<u64>() + 1;
+const BYTES_PER_SLOT: usize = size_of::<IdHash>() + 1;
 const MIN_SLOTS: usize = 1 << 12;
 const MAX_SLOTS: usize = 1 << 17;
 
@@ -18,15 +18,19 @@
 ///
 /// Invariant: the last [`UsedIds::capacity`] identifiers that were added are contained.
 pub(super) struct UsedIds {
-    younger: HashSet<u64>,
-    older: HashSet<u64>,
+    younger: IdHashSet,
+    older: IdHashSet,
     /// The number of identifiers of a generation.
     capacity: usize,
 }
 
 impl Default for UsedIds {
     fn default() -> UsedIds {
-        UsedIds { younger: HashSet::new(), older: HashSet::new(), capacity: capacity_of(MIN_SLOTS) }
+        UsedIds {
+            younger: IdHashSet::default(),
+            older: IdHashSet::default(),
+            capacity: capacity_of(MIN_SLOTS),
+        }
     }
 }
 
@@ -47,12 +51,12 @@
     }
 
     /// Whether the identifier with this hash was added and is not forgotten.
-    pub(super) fn contains(&self, id_hash: u64) -> bool {
+    pub(super) fn contains(&self, id_hash: IdHash) -> bool {
         self.younger.contains(&id_hash) || self.older.contains(&id_hash)
     }
 
     /// Adds the identifier with this hash.
-    pub(super) fn insert(&mut self, id_hash: u64) {
+    pub(super) fn insert(&mut self, id_hash: IdHash) {
         if self.younger.len() >= self.capacity {
             self.forget_older();
         }
@@ -63,7 +67,7 @@
         std::mem::swap(&mut self.younger, &mut self.older);
         self.younger.clear();
         if self.younger.capacity() != self.capacity {
-            self.younger = HashSet::with_capacity(self.capacity);
+            self.younger = IdHashSet::with_capacity_and_hasher(self.capacity, Default::default());
         }
     }
 }
