Run forms that no client sends in six states of the node

Twenty forms are refused with their status and never forwarded: in calm, beside a read that no cache answers, under overload, with a reload before each, after the stop signal with a request in progress, and as the fiftieth request of a connection.

--- a/crates/node/tests/scenarios/harness/mod.rs
+++ b/crates/node/tests/scenarios/harness/mod.rs
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 
 use self::endpoints::{ArrivedAttempt, TestEndpoint};
-use crate::connection::{POLL_INTERVAL, TEST_TIMEOUT, TestConnection, listen};
+use crate::connection::{POLL_INTERVAL, TEST_TIMEOUT, TestConnection, header, listen};
 use crate::in_process;
 
 /// The lowest port of nodes, and the number of such ports: all lie below the system's ephemeral ports.
@@ -128,6 +128,15 @@
         }
     }
 
+    /// The number of attempts that have arrived and that no command has expected, by the begin of their identifier.
+    pub fn count_attempts(&mut self, id_prefix: &str) -> usize {
+        self.poll();
+        let has_prefix = |attempt: &&ArrivedAttempt| {
+            header(&attempt.request.head, "x-request-id").is_some_and(|id| id.starts_with(id_prefix))
+        };
+        self.arrived.iter().filter(has_prefix).count()
+    }
+
     fn accept_discovery_connections(&mut self) {
         if self.discovery_blocked_by.is_some() {
             return;
--- a/crates/node/tests/scenarios/main.rs
+++ b/crates/node/tests/scenarios/main.rs
@@ -77,6 +77,7 @@
 mod harness;
 mod in_process;
 mod notation;
+mod refused_forms;
 mod sound_requests;
 
 use harness::Harness;
