--- a/crates/node/src/proxy/client_request_id.rs
+++ b/crates/node/src/proxy/client_request_id.rs
@@ -9,7 +9,7 @@
 
 /// A client's identifier for a request, by which cache servers know the request too.
 ///
-/// Invariant: the identifier has 1 to [`MAX_LENGTH`] visible ASCII characters other than a comma. Header fields of the
+/// Invariant: the identifier has 1 to 256 visible ASCII characters other than a comma. Header fields of the
 /// same name may be joined with commas, so that hops could read such an identifier as two.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ClientRequestId(Box<str>);
